--- /dev/null
+++ b/applehub/interface.py
@@ -0,0 +1,240 @@
+"""What the decision module is told and what it answers: settings, events and actions.
+
+Times and durations are integer nanoseconds; a clock value is passed in with every event.
+Servers, requests and keys are opaque texts; classes, tenants, zones and kinds are indexes.
+"""
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+
+class Effect(StrEnum):
+    """What a second execution of a request would do."""
+
+    SAFE = "safe"
+    KEYED = "keyed"
+    UNSAFE = "unsafe"
+
+
+class Status(StrEnum):
+    """How an attempt or a probe ended."""
+
+    OK = "ok"
+    ERROR = "error"
+    FULL = "full"
+    TIMEOUT = "timeout"
+    CONNECT_FAILED = "connect_failed"
+    RESET = "reset"
+    CANCELLED = "cancelled"
+    MOOT = "moot"
+    MISS = "miss"
+
+
+class State(StrEnum):
+    """What the list says of a server."""
+
+    READY = "ready"
+    DRAINING = "draining"
+    GONE = "gone"
+
+
+class ListKind(StrEnum):
+    """What a Members event carries."""
+
+    DELTA = "delta"
+    FULL = "full"
+    CACHED = "cached"
+    FAILED = "failed"
+
+
+@dataclass(slots=True)
+class RequestClass:
+    """One class of requests; late_worth is the part of its worth that an answer after the aim earns."""
+
+    aim: int
+    deadline: int
+    effect: Effect = Effect.SAFE
+    group: str = "all"
+    window: int = 0
+    worth: float = 1.0
+    late_worth: float = 0.0
+    stream: bool = False
+
+
+@dataclass(slots=True)
+class Tenant:
+    """One customer and what it may send, over all routers, in requests a second."""
+
+    quota: float = 0.0
+
+
+@dataclass(slots=True)
+class Settings:
+    """What a router is told when it starts."""
+
+    classes: list[RequestClass]
+    balancers: int = 1
+    tenants: list[Tenant] = field(default_factory=list)
+    aside: bool = False  # the router itself fetches from the origin after a miss
+    origin_kind: int = -1
+    must_ask: bool = False  # the server list comes only on request
+    retry_after: bool = False
+    max_retry_after: int = 0
+    max_attempts: int = 1
+    connect_timeout: int = 250_000_000
+    ask_within: int = 10_000_000_000
+    cold_from: float = 1.0
+    ramp_time: int = 0
+    tip_multiple: float = 1.0
+    fall_time: int = 1_000_000_000
+
+
+@dataclass(slots=True)
+class Member:
+    """One entry of the server list."""
+
+    server: str
+    state: State = State.READY
+    kind: int = 0
+    zone: int = 0
+    cell: int = 0
+    since: int = 0  # clock time of its latest start; 0: long ago
+    weight: float = 1.0
+
+
+@dataclass(slots=True)
+class Members:
+    """News of the server list."""
+
+    kind: ListKind
+    entries: list[Member]
+
+
+@dataclass(slots=True)
+class Request:
+    """A client's request, to be given exactly one final answer by its deadline."""
+
+    id: str
+    cls: int
+    deadline: int
+    key: str | None = None
+    write: bool = False
+    tenant: int = 0
+    repeat: bool = False
+
+
+@dataclass(slots=True)
+class Opened:
+    """A streamed answer has begun."""
+
+    id: str
+    attempt: int
+    server: str
+
+
+@dataclass(slots=True)
+class Load:
+    """A server's own report, late and noisy; what it does not tell is negative."""
+
+    inflight: float = -1.0  # requests it holds
+    queue: float = -1.0  # requests waiting
+    util: float = -1.0  # part of its cores in use
+    latency_ms: float = -1.0  # service time lately, without waiting
+    qps: float = -1.0  # requests served a second
+    eps: float = -1.0  # errors a second
+
+
+@dataclass(slots=True)
+class Outcome:
+    """An attempt has ended; closed: the request has its final answer."""
+
+    id: str
+    attempt: int
+    server: str
+    status: Status
+    closed: bool
+    elapsed: int
+    note: int = 0
+    load: Load | None = None
+
+
+@dataclass(slots=True)
+class Withdrawn:
+    """The client has left; nothing more is owed."""
+
+    id: str
+
+
+@dataclass(slots=True)
+class Alarm:
+    """A wake-up asked for with Wake."""
+
+    token: str
+
+
+@dataclass(slots=True)
+class Probed:
+    """The result of a Probe."""
+
+    server: str
+    status: Status
+    elapsed: int
+    load: Load | None = None
+
+
+@dataclass(slots=True)
+class PeerMessage:
+    """A message from another router."""
+
+    sender: int
+    data: str
+
+
+Event = Members | Request | Opened | Outcome | Withdrawn | Alarm | Probed | PeerMessage
+
+
+@dataclass(slots=True)
+class Send:
+    """Start an attempt; timeout 0: until the client gives up."""
+
+    id: str
+    server: str
+    timeout: int = 0
+
+
+@dataclass(slots=True)
+class Refuse:
+    """Final answer: not done, a further try does no harm."""
+
+    id: str
+    retry_after: int = 0
+
+
+@dataclass(slots=True)
+class Fail:
+    """Final answer: failed, perhaps done."""
+
+    id: str
+
+
+@dataclass(slots=True)
+class Wake:
+    """Ask for an Alarm with this token after a delay."""
+
+    delay: int
+    token: str
+
+
+@dataclass(slots=True)
+class Watch:
+    """Subscribe to changes of the server list."""
+
+
+@dataclass(slots=True)
+class Log:
+    """A line for the operators."""
+
+    text: str
+
+
+Action = Send | Refuse | Fail | Wake | Watch | Log
--- /dev/null
+++ b/tests/test_docs.py
@@ -0,0 +1,38 @@
+"""The pages tell the truth where a test can check it."""
+
+import contextlib
+import io
+import re
+from pathlib import Path
+
+from support import MILLI, SECOND, Router, settings
+
+from applehub import interface as api
+
+ROOT = Path(__file__).parent.parent
+
+
+def test_the_example_in_the_readme_prints_what_it_says() -> None:
+    text = (ROOT / "README.md").read_text()
+    code = re.search(r"```python\n(.*?)```", text, re.S)
+    shown = re.search(r"prints\n\n((?:    .*\n)+)", text)
+    assert code and shown
+    out = io.StringIO()
+    with contextlib.redirect_stdout(out):
+        exec(code[1], {})
+    assert out.getvalue() == "".join(line[4:] + "\n" for line in shown[1].splitlines())
+
+
+def test_every_log_line_on_the_on_call_page_exists_and_no_other() -> None:
+    router = Router(settings(must_ask=True))
+    router.throttle_on()
+    router.wait(60 * SECOND)
+    _, (first,) = router.ask("k")
+    router.end(first, api.Status.RESET)
+    router.wait(2 * SECOND)
+    _, (again,) = router.ask("k")
+    router.end(again, api.Status.OK, elapsed=MILLI)
+    router.tell(api.Members(api.ListKind.FAILED, []))
+    told = {re.sub(r"\bc\d\b", "S", re.sub(r"\b\d+\b", "N", line)) for line in router.log}
+    page = (ROOT / "docs" / "on-call.md").read_text()
+    assert told == set(re.findall(r"^\| `(.*?)` \|", page, re.M))
--- /dev/null
+++ b/tests/test_found.py
@@ -0,0 +1,201 @@
+"""One small test for each failure found on the bench; each fails without its fix."""
+
+import pytest
+from support import MILLI, SECOND, START, Router, fleet, settings
+
+from applehub import interface as api
+from applehub.logic import SAMPLES, Balancer, Monitor, Popularity
+
+
+def test_what_still_earns_something_late_is_waited_for() -> None:
+    """Kochi's retry storm: reads sent again half-way to their deadline doubled the work in a jam."""
+    router = Router()
+    _, (send,) = router.ask("k")
+    assert isinstance(send, api.Send)
+    assert send.timeout == 2 * SECOND
+
+
+def test_a_hot_key_takes_as_many_ranges_as_it_fills() -> None:
+    """Malabar at full size: one key was 7% of all requests, five servers' fair shares, on one server."""
+    popularity = Popularity()
+    wide = [popularity.fills("hot" if n % 5 == 0 else f"k{n}", 20) for n in range(200)]
+    assert wide[1] == wide[2] == 0
+    assert all(6 <= fills <= 8 for n, fills in enumerate(wide[100:]) if n % 5 == 0)
+    assert max(fills for n, fills in enumerate(wide) if n % 5) == 0
+
+
+def test_popularity_is_bounded_and_forgets() -> None:
+    popularity = Popularity()
+    for _ in range(100):
+        popularity.fills("hot", 4)
+    for n in range(2000):
+        popularity.fills(f"k{n}", 4)
+        assert len(popularity.seen) <= popularity.total <= SAMPLES * 4
+    assert popularity.fills("hot", 4) == 0
+
+
+def test_a_hot_key_is_sent_to_several_servers_and_others_keep_theirs() -> None:
+    router = Router(members=fleet(8))
+    used: dict[str, set[str]] = {}
+    for n in range(120):
+        key = f"k{n // 2}" if n % 2 else "hot"
+        _, (send,) = router.ask(key)
+        assert isinstance(send, api.Send)
+        used.setdefault(key, set()).add(send.server)
+        router.end(send, api.Status.OK)
+        router.wait(SECOND // 20)
+    assert 5 <= len(used.pop("hot")) <= 8
+    assert all(len(servers) == 1 for servers in used.values())
+
+
+def test_the_far_end_of_a_range_passes_to_the_next_while_its_server_answers_slowly() -> None:
+    """Full size: each of 400 routers gave a slow server one trial an answer time, which was everything."""
+    router = Router(members=fleet(4))
+    keys = [f"k{n}" for n in range(400)]
+    owned = [key for key in keys if router.candidates(key)[0].member.server == "c1"]
+    slow = router.balancer.servers["c1"]
+    for n in range(2):
+        slow.bear(router.now + n, 0, True)
+        slow.bear(router.now + n, SECOND, True)  # sent before the cut: the same jam
+    assert slow.share == 9 / 16
+    kept = 0
+    for key in owned:
+        _, (send,) = router.ask(key)
+        assert isinstance(send, api.Send)
+        kept += send.server == "c1"
+        assert send.server in ("c1", "c2")
+        router.end(send, api.Status.OK)
+        slow.share = 9 / 16
+    assert abs(kept / len(owned) - 9 / 16) < 0.1
+    for _ in range(16):
+        slow.bear(router.now, 0, False)
+    assert slow.share == 1
+
+
+def test_a_server_that_warms_up_gets_no_work_of_others() -> None:
+    """Malabar's deploys: work that left other servers came on top of a cold server's own range."""
+    router = Router(members=[*fleet(3), api.Member("c3", since=START - SECOND)])
+    router.wait(7 * SECOND)
+    owned = 0
+    for n in range(300):
+        first = router.candidates(f"k{n}")[0]
+        first.share = 1.0 if first.member.server == "c3" else 0.0
+        _, actions = router.ask(f"k{n}")
+        send = actions[0]
+        if isinstance(send, api.Send) and send.server == "c3":
+            owned += 1
+            assert first.member.server == "c3"
+        router.end(send, api.Status.OK)
+        router.wait(SECOND // 200)
+    assert owned > 5
+
+
+def test_hot_keys_that_a_warming_server_takes_up_do_not_push_it_over() -> None:
+    """Kaohsiung in a release: two hot keys moved to a cold server, 95 of its 124 requests in two seconds."""
+    router = Router(members=[*fleet(7), api.Member("c7", since=START - SECOND)])
+    router.wait(8 * SECOND)
+    mine = [key for key in map(str, range(900)) if router.candidates(key)[0].member.server == "c7"]
+    mine = [key for key in mine if router.balancer.ranges.locate(key, router.now)[1] > START][:4]
+    sent = 0
+    for n in range(400):
+        _, (send,) = router.ask(mine[n % 4] if n % 2 else f"other{n}")
+        assert isinstance(send, api.Send)
+        sent += send.server == "c7"
+        router.end(send, api.Status.OK)
+        router.wait(SECOND // 400)
+    assert 0 < sent < 400 / 8
+
+
+def test_a_read_that_a_cache_could_not_fetch_is_not_sent_to_another() -> None:
+    """Kochi with a slow origin: each failed fetch was tried again at a second cache."""
+    router = Router(settings(aside=False), fleet(4, origin=False))
+    name, (send,) = router.ask("k")
+    assert router.end(send, api.Status.ERROR) == [api.Refuse(name)]
+
+
+def test_a_small_machine_bears_a_small_part_of_its_range() -> None:
+    """Kochi's slow boxes, listed at half a weight, had the same range as those of three times their speed."""
+    members = [api.Member(f"c{n}", weight=0.5 if n == 1 else 1.5) for n in range(6)]
+    router = Router(settings(aside=False), members)
+    counts = {one.server: 0 for one in members}
+    for n in range(1200):
+        _, (send,) = router.ask(f"k{n}")
+        assert isinstance(send, api.Send)
+        counts[send.server] += 1
+        router.end(send, api.Status.OK)
+    assert abs(counts["c1"] / counts["c4"] - 0.5 / (8 / 6)) < 0.1
+    assert counts["c1"] + counts["c2"] == pytest.approx(2 * counts["c4"], rel=0.15)
+
+
+@pytest.mark.parametrize("weight", [0.0, 1.0])
+def test_equal_weights_of_any_size_leave_the_ranges_equal(weight: float) -> None:
+    router = Router(settings(aside=False), [api.Member(f"c{n}", weight=weight) for n in range(4)])
+    for n in range(200):
+        _, (send,) = router.ask(f"k{n}")
+        assert isinstance(send, api.Send)
+        assert weight == 0 or send.server == router.candidates(f"k{n}")[0].member.server
+        router.end(send, api.Status.OK)
+
+
+def test_while_most_connects_are_refused_a_router_keeps_to_the_connections_it_has() -> None:
+    """Vedi at full size: 417 routers, and each server takes 105 connections; 66% of attempts got none."""
+    router = Router(members=fleet(20))
+    taken = {f"c{n}" for n in range(0, 20, 4)}
+    refused: list[int] = []
+    for n in range(120):
+        _, actions = router.ask(f"k{n}")
+        refused.append(0)
+        for attempt in range(4):
+            (send,) = actions
+            if not isinstance(send, api.Send):
+                break
+            if send.server in taken:
+                router.end(send, api.Status.OK, attempt)
+                break
+            refused[-1] += 1
+            actions = router.end(send, api.Status.CONNECT_FAILED, attempt, MILLI)
+        router.wait(SECOND // 2)
+    assert sum(refused[:40]) >= 6
+    assert sum(refused[40:]) == 0
+
+
+def test_a_few_dead_servers_do_not_look_like_full_tables() -> None:
+    router = Router(members=fleet(20))
+    for n in range(200):
+        _, (send,) = router.ask(f"k{n}")
+        assert isinstance(send, api.Send)
+        dead = send.server in ("c3", "c7", "c11")
+        for again in router.end(send, api.Status.CONNECT_FAILED if dead else api.Status.OK, 0, MILLI):
+            router.end(again, api.Status.OK, 1)
+        assert router.balancer.crowded <= 1 / 2
+        router.wait(SECOND // 10)
+
+
+def test_a_clock_younger_than_the_warm_up_makes_no_server_cold() -> None:
+    """Found by the adapter's tests: at second 1 a server warm since long ago was refused as a cold one."""
+    balancer = Balancer(settings(), 7)
+    balancer.handle(0, api.Members(api.ListKind.CACHED, fleet()))
+    actions = balancer.handle(SECOND, api.Request("r", 0, 3 * SECOND, "k"))
+    assert any(isinstance(action, api.Send) for action in actions)
+
+
+def test_evidence_of_a_sick_origin_is_kept_until_there_is_enough() -> None:
+    """Full size: one of 400 routers sees a likely miss in two seconds, never two within one period."""
+    monitor = Monitor(SECOND // 2)
+    monitor.born = 0
+    for n in range(1, 9):
+        if n % 4 == 0:
+            monitor.spent.add(n * SECOND // 2)
+            monitor.note(False, n * SECOND // 2)
+        monitor.step(n * SECOND // 2, False)
+    assert monitor.throttle is not None
+    assert monitor.throttle.rate < 1
+
+
+def test_a_healthy_origin_clears_the_evidence() -> None:
+    monitor = Monitor(SECOND // 2)
+    monitor.born = 0
+    for n in range(1, 60):
+        monitor.note(n % 12 != 0, n * SECOND // 2)
+        monitor.step(n * SECOND // 2, False)
+    assert monitor.throttle is None
--- /dev/null
+++ b/tests/test_logic.py
@@ -0,0 +1,627 @@
+"""What each part decides, one failure or rule at a time."""
+
+import pytest
+from support import MILLI, ORIGIN_KIND, SECOND, START, Router, fleet, settings
+
+from applehub import interface as api
+from applehub.logic import DEALS_KEPT, KEYS_KEPT, KeyMemory, KeyRanges, Monitor, Popularity, Server
+
+S = api.Status
+
+
+def sends(actions: list[api.Action]) -> list[str]:
+    return [action.server for action in actions if isinstance(action, api.Send)]
+
+
+@pytest.fixture(autouse=True)
+def no_key_is_hot(monkeypatch: pytest.MonkeyPatch) -> None:
+    """With a handful of requests each repeated key would be a hot one; test_found.py has those."""
+    monkeypatch.setattr(Popularity, "fills", lambda self, key, servers: 0)
+
+
+# Placement
+
+
+def test_ranges_are_equal_and_blind_to_the_order_of_hearing() -> None:
+    one = Router(members=[api.Member(name) for name in "abcd"])
+    other = Router(members=[api.Member(name) for name in "cadb"])
+    owners = [one.candidates(f"key{n}")[0].member.server for n in range(4000)]
+    assert owners == [other.candidates(f"key{n}")[0].member.server for n in range(4000)]
+    assert all(900 < owners.count(name) < 1100 for name in "abcd")
+
+
+def test_origin_draining_and_gone_members_own_no_range() -> None:
+    members = fleet(4)
+    members[1].state = api.State.DRAINING
+    router = Router(members=members)
+    router.tell(api.Members(api.ListKind.DELTA, [api.Member("c2", api.State.GONE)]))
+    assert router.balancer.ranges.deals[-1][1] == ["c0", "c3"]
+
+
+def test_a_full_list_removes_whom_it_does_not_name() -> None:
+    router = Router()
+    router.tell(api.Members(api.ListKind.FULL, fleet(2)))
+    assert router.balancer.ranges.deals[-1][1] == ["c0", "c1"]
+
+
+def test_keys_take_up_a_new_list_evenly_over_a_turn_and_all_routers_alike() -> None:
+    """Guards against a remap flood: one server more shifts most boundaries."""
+    router, restarted = Router(members=fleet(9)), Router(members=fleet(9))
+    keys = [f"k{n}" for n in range(2000)]
+    before = {key: router.candidates(key)[0].member.server for key in keys}
+    joined = api.Members(api.ListKind.DELTA, [api.Member("b9", since=router.now)])
+    moved = []
+    for one in (router, restarted):
+        one.tell(joined)
+    for _ in range(4):
+        for one in (router, restarted):
+            one.wait(10 * SECOND // 4)
+        owners = {key: router.candidates(key)[0].member.server for key in keys}
+        assert owners == {key: restarted.candidates(key)[0].member.server for key in keys}
+        moved.append(sum(owners[key] != before[key] for key in keys))
+    share = [count / moved[-1] for count in moved]
+    assert all(abs(part - (n + 1) / 4) < 0.06 for n, part in enumerate(share))
+
+
+def test_a_key_whose_server_has_left_moves_at_once() -> None:
+    router = Router(members=fleet(9))
+    keys = [f"k{n}" for n in range(200)]
+    before = {key: router.candidates(key)[0].member.server for key in keys}
+    router.tell(api.Members(api.ListKind.DELTA, [api.Member("c4", api.State.GONE)]))
+    for key in keys:
+        _, (send,) = router.ask(key)
+        assert isinstance(send, api.Send)
+        assert send.server != "c4" and (send.server == before[key] or before[key] == "c4")
+        router.end(send, S.OK)
+
+
+def test_lists_that_no_key_lives_by_are_forgotten() -> None:
+    ranges = KeyRanges(10 * SECOND)
+    for n in range(500):
+        ranges.deal(n * SECOND, [f"s{n}"])
+        assert len(ranges.deals) <= 12
+    for n in range(500):
+        ranges.deal(500 * SECOND + n, [f"s{n}"])
+    assert len(ranges.deals) <= DEALS_KEPT
+
+
+# Memory of keys
+
+
+def test_memory_is_bounded_and_forgets_the_oldest() -> None:
+    memory = KeyMemory()
+    for n in range(KEYS_KEPT + 5):
+        memory.put(str(n), n)
+    assert len(memory.seen) == KEYS_KEPT
+    assert memory.likely_miss("0", KEYS_KEPT) and not memory.likely_miss(str(KEYS_KEPT), KEYS_KEPT)
+
+
+def test_an_age_at_which_hits_turned_to_misses_is_learned() -> None:
+    memory = KeyMemory()
+    for n in range(10):
+        memory.put(str(n), 0)
+        memory.learn(str(n), 8 * SECOND, False)
+    memory.put("k", 0)
+    assert memory.likely_miss("k", 8 * SECOND) and not memory.likely_miss("k", SECOND // 8)
+
+
+# Throttle and monitor on the request path
+
+
+def test_unthrottled_misses_go_on_to_the_origin_and_are_remembered() -> None:
+    router = Router()
+    name = router.serve("k")
+    _, actions = router.ask("k")
+    assert sends(actions) == [name]
+    assert not router.balancer.memory.likely_miss("k", router.now)
+
+
+def test_overload_of_likely_misses_waits_then_is_refused_by_its_aim() -> None:
+    router = Router()
+    router.throttle_on()
+    throttle = router.balancer.monitor.throttle
+    assert throttle is not None
+    asked, at_once = [], []
+    for n in range(30):
+        name, actions = router.ask(f"new{n}")
+        asked.append(name)
+        at_once += actions
+    waiting = set(throttle.queue)
+    assert waiting and len(waiting) <= throttle.buffer
+    later = router.wait(SECOND)
+    assert sends(later), "tokens free waiting jobs"
+    refused = {action.id for action in at_once + later if isinstance(action, api.Refuse)}
+    sent = {action.id for action in at_once + later if isinstance(action, api.Send)}
+    assert refused | sent == set(asked) and not refused & sent
+
+
+def test_the_origin_read_of_a_miss_spends_a_token_too() -> None:
+    router = Router()
+    router.throttle_on()
+    router.wait(SECOND)
+    throttle = router.balancer.monitor.throttle
+    assert throttle is not None
+    throttle.refill(router.now)
+    throttle.level = 3
+    _, (first,) = router.ask("x")
+    level = throttle.level
+    (second,) = router.end(first, S.MISS)
+    assert sends([second]) == ["origin"] and (level, throttle.level) == (2, 1)
+
+
+def test_lately_hit_keys_pass_a_throttle_that_is_on() -> None:
+    router = Router()
+    name = router.serve("k")
+    router.throttle_on()
+    _, actions = router.ask("k")
+    assert sends(actions) == [name]
+
+
+def test_the_throttle_goes_off_when_reads_stay_healthy() -> None:
+    router = Router()
+    router.throttle_on()
+    router.wait(60 * SECOND)
+    assert router.balancer.monitor.throttle is None
+    assert router.log[0].startswith("throttle on: ") and router.log[-1] == "throttle off"
+
+
+def test_marked_work_does_not_wait_for_tokens() -> None:
+    router = Router(settings(tenants=[api.Tenant(3.0), api.Tenant(3.0)]))
+    router.throttle_on()
+    for n in range(40):
+        _, actions = router.ask(f"n{n}", tenant=1)
+    assert [type(action) for action in actions] == [api.Refuse]
+
+
+def test_a_short_past_is_no_sign_of_a_low_rate() -> None:
+    monitor = Monitor(SECOND)
+    monitor.born = START
+    for n in range(100):  # fifty likely misses a second from the very start
+        monitor.spent.add(START + n * SECOND // 50)
+    assert 45 < monitor.recent(START + 2 * SECOND) < 55
+
+
+@pytest.mark.parametrize(
+    ("seen", "bad", "acts"), [(2, 2, True), (10, 2, False), (10, 3, True), (50, 6, False)]
+)
+def test_a_slow_tail_within_chance_is_no_alarm(seen: int, bad: int, acts: bool) -> None:
+    monitor = Monitor(SECOND)
+    for n in range(seen):
+        monitor.note(n >= bad, START)
+    monitor.step(START, False)
+    assert (monitor.throttle is not None) is acts
+
+
+def test_one_jam_cuts_r_once() -> None:
+    """Guards against reads sent before a cut cutting r again."""
+    monitor = Monitor(SECOND)
+    for _ in range(8):
+        monitor.spent.add(SECOND)
+        monitor.note(False, 0)
+    assert monitor.step(SECOND, False).startswith("throttle on")
+    throttle = monitor.throttle
+    assert throttle is not None
+    rate = throttle.rate
+    for _ in range(8):
+        monitor.note(False, SECOND // 2)
+    monitor.step(2 * SECOND, False)
+    assert throttle.rate >= rate
+    for _ in range(8):
+        monitor.note(False, 2 * SECOND)
+    monitor.step(3 * SECOND, False)
+    assert throttle.rate < rate
+    assert throttle.bank > 2 and throttle.bank + throttle.buffer >= 10
+
+
+def test_r_does_not_rise_while_reads_hang_between_two_cuts() -> None:
+    """Guards against a jam that feeds itself."""
+    monitor = Monitor(SECOND)
+    for _ in range(8):
+        monitor.spent.add(SECOND)
+        monitor.note(False, 0)
+    monitor.step(SECOND, True)
+    throttle = monitor.throttle
+    assert throttle is not None
+    rate, throttle.level = throttle.rate, 0
+    monitor.step(2 * SECOND, True)
+    assert throttle.rate == rate
+    for _ in range(24):
+        monitor.spent.add(2 * SECOND)
+    monitor.note(True, 2 * SECOND)
+    monitor.step(2 * SECOND, True)
+    assert throttle.rate > rate
+    for _ in range(9):
+        monitor.step(2 * SECOND, False)
+    assert throttle.rate < 2.5 * monitor.recent(2 * SECOND), "nor far past what is spent"
+
+
+def test_an_origin_that_hangs_turns_the_throttle_on_before_any_outcome() -> None:
+    router = Router()
+    for n in range(5):
+        _, (first,) = router.ask(f"h{n}")
+        router.end(first, S.MISS)
+    router.wait(3 * SECOND // 2)
+    assert router.balancer.monitor.throttle is not None
+
+
+def test_one_read_a_key_is_out_and_who_waits_is_served_by_the_cache() -> None:
+    """Guards against a flood of reads for one key."""
+    router = Router()
+    _, (first,) = router.ask("hot")
+    (read,) = router.end(first, S.MISS)
+    name, actions = router.ask("hot")
+    assert actions == []
+    (served,) = router.end(read, S.OK, 1)
+    assert isinstance(served, api.Send) and isinstance(first, api.Send)
+    assert (served.id, served.server) == (name, first.server)
+
+
+def test_who_waits_for_a_read_that_fails_takes_a_turn_and_none_outwaits_its_aim() -> None:
+    router = Router()
+    _, (first,) = router.ask("hot")
+    (read,) = router.end(first, S.MISS)
+    second, _ = router.ask("hot")
+    third, _ = router.ask("hot")
+    actions = router.end(read, S.ERROR, 1)
+    assert [type(action) for action in actions] == [api.Refuse, api.Send, api.Send]
+    (again,) = router.end(actions[1], S.MISS)
+    assert isinstance(again, api.Send) and (again.id, again.server) == (second, "origin")
+    assert router.end(actions[2], S.MISS) == []
+    later = router.wait(2 * SECOND)
+    assert [action.id for action in later if isinstance(action, api.Refuse)] == [third]
+
+
+# Server view
+
+
+def test_full_answers_make_a_server_swamped_not_quick() -> None:
+    """Guards against a storm of full answers: work spills once, to a calm server, or is refused."""
+    router = Router()
+    home = router.balancer.servers[router.serve("k")]
+    for _ in range(12):
+        home.learn(router.now, SECOND, int(router.balancer.shortest_aim), 1)
+    home.out, home.sent_at = 1, router.now
+    _, actions = router.ask("k")
+    assert sends(actions) and sends(actions) != [home.member.server]
+    for one in router.balancer.servers.values():
+        one.latency, one.out, one.sent_at = float(5 * SECOND), 1, router.now
+    _, actions = router.ask("k")
+    assert [type(action) for action in actions] == [api.Refuse]
+
+
+def test_a_second_full_answer_ends_the_request() -> None:
+    router = Router()
+    _, (first,) = router.ask("k")
+    (second,) = router.end(first, S.FULL)
+    assert sends([first]) != sends([second])
+    assert [type(action) for action in router.end(second, S.FULL, 1)] == [api.Refuse]
+
+
+def test_a_swamped_server_gets_a_trial_an_answer_time() -> None:
+    one = Server(api.Member("c"), float(SECOND))
+    assert not one.calm(SECOND // 2, SECOND / 4, 4, 1)
+    assert one.calm(SECOND, SECOND / 4, 4, 1)
+    one.learn(SECOND, SECOND, SECOND // 10, 1)
+    assert one.latency < 0.6 * SECOND, "a trial's answer counts for half"
+
+
+def test_reports_show_what_other_routers_send() -> None:
+    router = Router()
+    router.serve("k")
+    _, (send,) = router.ask("k")
+    router.end(send, S.OK, load=api.Load(inflight=40, latency_ms=100, qps=10))
+    one = router.balancer.servers[sends([send])[0]]
+    assert one.reported(router.now) == pytest.approx(4.1e9)
+    assert one.reported(router.now + 2 * SECOND) == 0
+    assert sends(router.ask("k")[1]) != [one.member.server]
+
+
+def test_an_unreachable_server_is_left_alone_then_tried_once() -> None:
+    router = Router()
+    _, (first,) = router.ask("k")
+    (second,) = router.end(first, S.CONNECT_FAILED)
+    assert sends([second]) != sends([first])
+    name = sends([first])[0]
+    assert name not in [sends(router.ask("k")[1])[0] for _ in range(5)]
+    router.wait(SECOND)
+    tried = [sends(router.ask("k")[1])[0] for _ in range(5)]
+    assert tried.count(name) == 1
+    assert f"server {name} unreachable" in router.log
+
+
+@pytest.mark.parametrize("routers", [1, 40])
+def test_a_cold_server_takes_up_its_part_evenly_however_many_routers(routers: int) -> None:
+    """Guards against a first token for each router, which pushed cold servers over at full size."""
+    fresh = api.Members(api.ListKind.DELTA, [api.Member("c1", since=START)])
+    several = [Router() for _ in range(routers)]
+    for router in several:
+        router.tell(fresh)
+    sent, turn = [], 10 * SECOND
+    for n in range(2000):
+        router = several[n % routers]
+        router.wait(START + n * turn // 2000 - router.now)
+        _, actions = router.ask(f"k{n}")
+        sent.append(sends(actions) == ["c1"])
+        router.end(actions[0], S.OK)
+    quarters = [sum(sent[n : n + 500]) for n in range(0, 2000, 500)]
+    taken_up = [125 * (2 * n + 1) / 8 for n in range(4)]
+    assert all(count < even + 25 for count, even in zip(quarters, taken_up, strict=True))
+    assert quarters[0] > 4 and min(quarters[1:]) > 12  # the budget of half the mean flow may bind
+
+
+def test_a_server_listed_with_a_newer_start_is_cold_again() -> None:
+    router = Router()
+    for _ in range(2):
+        router.tell(api.Members(api.ListKind.DELTA, [api.Member("c1", since=router.now - SECOND)]))
+        assert router.balancer.servers["c1"].cold_since == router.now - SECOND
+    router.wait(20 * SECOND)
+    owned = [key for key in map(str, range(40)) if router.candidates(key)[0].member.server == "c1"]
+    assert owned
+    for key in owned:
+        _, actions = router.ask(key)
+        assert sends(actions) == ["c1"]
+        router.end(actions[0], S.OK)
+
+
+def test_a_server_that_was_away_for_long_is_taken_as_cold() -> None:
+    router = Router()
+    _, (first,) = router.ask("k")
+    router.end(first, S.RESET)
+    router.wait(2 * SECOND)
+    _, actions = router.ask("k")
+    assert sends(actions) == sends([first])
+    router.end(actions[0], S.OK)
+    assert router.balancer.servers[sends([first])[0]].cold_since == router.now
+    assert router.log[-1].endswith("answers again")
+
+
+def test_what_joins_the_list_later_without_a_start_time_is_taken_as_cold() -> None:
+    router = Router()
+    router.tell(api.Members(api.ListKind.DELTA, [api.Member("c9")]))
+    assert router.balancer.servers["c9"].cold_since == router.now
+    assert router.balancer.servers["c0"].cold_since == 0
+
+
+# Lifecycle
+
+
+@pytest.mark.parametrize("members", [[], fleet(0), [api.Member("c0", api.State.DRAINING)]])
+def test_without_a_server_a_read_is_refused_at_once(members: list[api.Member]) -> None:
+    _, actions = Router(members=members).ask()
+    assert [type(action) for action in actions] == [api.Refuse]
+
+
+def test_without_an_origin_a_write_is_refused_at_once() -> None:
+    _, actions = Router(members=fleet(3, origin=False)).ask(cls=2, write=True)
+    assert [type(action) for action in actions] == [api.Refuse]
+
+
+def test_a_write_goes_to_the_origin_and_tries_again_while_its_aim_lasts() -> None:
+    router = Router()
+    _, (first,) = router.ask(cls=2, write=True)
+    assert sends([first]) == ["origin"]
+    assert router.end(first, S.FULL) == []
+    assert sends(router.wait(SECOND // 4)) == ["origin"]
+
+
+def test_reads_do_not_keep_a_swamped_origin_swamped() -> None:
+    """Guards against the second's excess that is out before the first slow read shows."""
+    router = Router()
+    origin = router.balancer.origin
+    assert origin is not None
+    origin.latency, origin.base, origin.sent_at = SECOND / 4, SECOND / 4, router.now
+    reads: list[api.Action] = []
+    for n in range(8):
+        _, (first,) = router.ask(f"k{n}")
+        reads += router.end(first, S.MISS)
+    assert [type(one) for one in reads] == [api.Send] * 3 + [api.Refuse] * 5
+
+
+def test_writes_do_not_keep_a_swamped_origin_swamped() -> None:
+    """Guards against writes that keep a jammed origin jammed; a trial still shows when it recovers."""
+    router = Router()
+    origin = router.balancer.origin
+    assert origin is not None
+    origin.latency, origin.sent_at = 3.0 * SECOND, router.now
+    assert [type(action) for action in router.ask(cls=2, write=True)[1]] == [api.Refuse]
+    router.wait(3 * SECOND)
+    assert sends(router.ask(cls=2, write=True)[1]) == ["origin"]
+
+
+def test_an_unsafe_request_that_may_have_run_fails_and_is_not_sent_again() -> None:
+    router = Router()
+    _, (first,) = router.ask(cls=2, write=True)
+    assert isinstance(first, api.Send) and first.timeout == 0, "no time-out of our own cuts it off"
+    assert [type(action) for action in router.end(first, S.ERROR)] == [api.Fail]
+
+
+def test_a_keyed_request_is_sent_again_only_within_its_window() -> None:
+    router = Router()
+    _, (first,) = router.ask(cls=1, write=True)
+    router.wait(SECOND // 2)
+    assert router.end(first, S.ERROR) == []
+    assert sends(router.wait(SECOND // 4)) == ["origin"]
+    router = Router(
+        settings(classes=[api.RequestClass(SECOND, 4 * SECOND, api.Effect.KEYED, "all", SECOND // 4)])
+    )
+    _, (first,) = router.ask(write=True)
+    router.wait(SECOND // 2)
+    assert [type(action) for action in router.end(first, S.ERROR)] == [api.Fail]
+
+
+@pytest.mark.parametrize(("cls", "same"), [(3, "zone"), (4, "cell")])
+def test_a_keyed_request_stays_in_its_group(cls: int, same: str) -> None:
+    for n in range(20):
+        router = Router(settings(aside=False), fleet(6, origin=False))
+        _, (first,) = router.ask(f"k{n}", cls)
+        for action in router.end(first, S.ERROR):
+            if isinstance(action, api.Send):
+                one, two = (router.balancer.servers[name].member for name in sends([first, action]))
+                assert getattr(one, same) == getattr(two, same)
+            else:
+                assert type(action) is api.Fail
+
+
+def test_attempts_are_bounded() -> None:
+    router = Router(settings(max_attempts=2))
+    _, (send,) = router.ask("k")
+    (send,) = router.end(send, S.CONNECT_FAILED)
+    assert [type(action) for action in router.end(send, S.CONNECT_FAILED, 1)] == [api.Refuse]
+
+
+def test_an_origin_read_runs_until_the_client_gives_up() -> None:
+    """Guards against an origin slower than an aim, at which reads given up would fill no cache."""
+    router = Router(settings(classes=[api.RequestClass(aim=SECOND, deadline=2 * SECOND)]))
+    _, (first,) = router.ask("k")
+    (read,) = router.end(first, S.MISS)
+    assert isinstance(first, api.Send) and isinstance(read, api.Send)
+    assert (first.timeout, read.timeout) == (SECOND, 2 * SECOND)
+
+
+def test_neighbours_that_fail_together_are_passed_by() -> None:
+    router = Router(members=fleet(6))
+    owner, *rest = router.candidates("k")
+    for one in [owner, *rest[:2]]:  # slow with nothing of ours out, and a trial is out at each
+        one.latency, one.base, one.out = 1.0 * SECOND, SECOND / 10, 1
+    assert sends(router.ask("k")[1]) == [rest[2].member.server]
+
+
+def test_a_trial_that_is_out_stays_one() -> None:
+    """Guards against a long memory of a jam: its answer counts half, whoever asked meanwhile."""
+    tested = Server(api.Member("c"), 4.0 * SECOND)
+    assert tested.calm(START, SECOND, 4, 1) and tested.trial
+    tested.out, tested.sent_at = 1, START
+    assert not tested.calm(START, SECOND, 4, 1)
+    tested.learn(START, SECOND, 0, 1)
+    assert tested.latency == 2 * SECOND
+
+
+def test_an_answer_after_a_long_silence_counts_more() -> None:
+    """Guards against a fleet so wide that this router sees a server seldom."""
+    often, seldom = (Server(api.Member("c"), 1.0 * SECOND, learned_at=START) for _ in range(2))
+    often.learn(START + MILLI, 2 * SECOND, 0, 1)
+    seldom.learn(START + 5 * SECOND, 2 * SECOND, 0, 1)
+    assert (often.latency, seldom.latency) == (SECOND * 7 / 8, SECOND / 2)
+
+
+def test_a_trial_that_misses_shows_recovery() -> None:
+    """Guards against a swamped server whose keys went elsewhere: it would never be seen to recover."""
+    router = Router()
+    owner = router.candidates("k")[0]
+    owner.latency, owner.base = 4.0 * SECOND, SECOND / 10
+    _, (trial,) = router.ask("k")
+    assert sends([trial]) == [owner.member.server] and owner.trial
+    router.end(trial, S.MISS)
+    assert owner.latency < 2.1 * SECOND
+
+
+def test_what_was_out_is_forgotten_slowly() -> None:
+    """Guards against a crowded server that looks slow by itself as soon as it gets one request at a time."""
+    one = Server(api.Member("c"), 1.0 * SECOND, held=9.0, trial=True)
+    one.learn(START, 2 * SECOND, SECOND, 1)
+    assert one.held == 8 and one.predict() < SECOND / 4
+
+
+def test_never_two_attempts_are_out() -> None:
+    router = Router()
+    name, (first,) = router.ask("k")
+    router.balancer._proceed(router.balancer.jobs[name])
+    assert router.tell(api.Alarm("any")) == [] and router.balancer.jobs[name].made == 1
+    assert sends([first])
+
+
+def test_an_early_alarm_does_not_stop_the_timers() -> None:
+    router = Router()
+    _, (first,) = router.ask("k")
+    router.end(first, S.MISS)  # its origin read is out
+    waits, none = router.ask("k")  # waits for that read
+    assert none == []
+    when, token = router.alarms.pop()
+    router.now = when - 300
+    router.tell(api.Alarm(token))
+    answers = router.wait(SECOND)
+    assert [one.id for one in answers if isinstance(one, api.Refuse)] == [waits]
+
+
+def test_an_alarm_that_never_came_is_asked_for_anew() -> None:
+    router = Router()
+    router.ask("k")
+    router.alarms.clear()
+    router.now += SECOND
+    router.tell(api.Withdrawn("nobody"))
+    assert min(router.alarms)[0] > router.now
+
+
+def test_withdrawn_and_late_news_of_ended_requests_are_passed_over() -> None:
+    router = Router()
+    name, (first,) = router.ask("k")
+    assert router.tell(api.Withdrawn(name)) == []
+    assert router.tell(api.Withdrawn(name)) == []
+    assert router.end(first, S.MISS) == []
+    assert router.balancer.jobs == {}
+
+
+def test_a_stream_that_has_begun_is_left_to_the_client() -> None:
+    spec = api.RequestClass(SECOND, 2 * SECOND, stream=True)
+    router = Router(settings(classes=[spec]))
+    name, (first,) = router.ask("k")
+    assert isinstance(first, api.Send) and first.timeout == 0
+    assert router.tell(api.Opened(name, 0, first.server)) == []
+    assert router.wait(10 * SECOND) == []
+    assert router.tell(api.Outcome(name, 0, first.server, S.RESET, True, 9 * SECOND)) == []
+    assert router.balancer.jobs == {}
+
+
+def test_a_request_without_a_key_is_placed_and_never_throttled() -> None:
+    router = Router()
+    router.throttle_on()
+    _, actions = router.ask(None)
+    assert sends(actions)
+
+
+def test_through_mode_takes_a_key_not_lately_sent_as_a_likely_miss() -> None:
+    router = Router(settings(aside=False), fleet(4, origin=False))
+    assert router.balancer.memory.likely_miss("k", router.now)
+    _, (first,) = router.ask("k")
+    assert not router.balancer.memory.likely_miss("k", router.now)
+    router.end(first, S.OK)
+    for n in range(20):
+        _, (send,) = router.ask(f"t{n}")
+        router.end(send, S.ERROR)
+    router.wait(SECOND)
+    assert router.balancer.monitor.throttle is not None
+
+
+def test_refusals_tell_when_to_come_back_only_where_clients_are_told() -> None:
+    told = Router(settings(retry_after=True, max_retry_after=SECOND // 2), [])
+    assert told.ask()[1] == [api.Refuse("r1", SECOND // 2)]
+    assert Router(members=[]).ask()[1] == [api.Refuse("r1", 0)]
+
+
+# The list on request
+
+
+def test_a_list_on_request_is_watched_and_asked_again_after_a_failure() -> None:
+    router = Router(settings(must_ask=True))
+    asked = 0
+    for _ in range(4):
+        router.tell(api.Members(api.ListKind.FAILED, []))
+        actions = router.wait(10 * SECOND)
+        asked += sum(isinstance(action, api.Watch) for action in actions)
+    assert asked == 4
+    router.tell(api.Members(api.ListKind.DELTA, []))
+    assert router.wait(60 * SECOND) == []
+
+
+def test_a_restart_asks_at_once_and_keeps_the_restored_list() -> None:
+    router = Router(settings(must_ask=True), [])
+    actions = router.tell(api.Members(api.ListKind.CACHED, fleet()))
+    assert actions == [api.Watch()]
+    assert sends(router.ask()[1])
+
+
+def test_peers_and_probes_are_passed_over() -> None:
+    router = Router()
+    assert router.tell(api.PeerMessage(1, "00")) == []
+    assert router.tell(api.Probed("c0", S.OK, 1)) == []
+    assert router.now == START and router.balancer.settings.origin_kind == ORIGIN_KIND
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,223 @@
+"""Rules 1 to 3 over random legal event sequences, judged by an oracle that shares no code with the module."""
+
+import random
+from dataclasses import dataclass, field
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from support import MILLI, ORIGIN_KIND, SECOND, fleet
+from support import settings as router_settings
+
+from applehub import interface as api
+from applehub.logic import Balancer
+
+GRACE = SECOND // 4
+MICRO = 1000
+PROVEN = {"full", "connect_failed", "moot", "miss"}
+ENDS = ["ok", "error", "full", "timeout", "connect_failed", "reset", "miss"]
+
+
+@dataclass
+class Held:
+    """A request as the oracle sees it."""
+
+    cls: int
+    deadline: int
+    attempts: list[tuple[str, int, str]] = field(default_factory=list)  # server, sent, outcome or ""
+    ended: bool = False
+
+
+class World:
+    """Plays clients, list and servers at random but legally, and checks every action."""
+
+    def __init__(self, seed: int, mode: str) -> None:
+        self.dice = random.Random(seed)
+        self.coarse = self.dice.random() < 0.5
+        self.options = router_settings(
+            aside=mode != "through",
+            must_ask=mode == "asked",
+            tenants=[api.Tenant(5.0), api.Tenant(5.0)] if mode == "tenants" else [],
+        )
+        self.now = 100 * SECOND
+        self.alarms: list[tuple[int, str]] = []
+        self.due: list[tuple[int, str, int]] = []  # when, request, attempt
+        self.start()
+
+    def start(self) -> None:
+        """A fresh instance with its restored list; whatever the old one held is the clients' business."""
+        self.router = Balancer(self.options, self.dice.getrandbits(64))
+        self.held: dict[str, Held] = {}
+        self.due.clear()
+        self.alarms.clear()
+        self.left: dict[str, int] = {}  # servers told as draining or gone, and when
+        self.known = {
+            one.server: one for one in fleet(self.dice.choice([0, 1, 4, 7]), self.dice.random() < 0.9)
+        }
+        self.play(api.Members(api.ListKind.CACHED, list(self.known.values())))
+
+    def play(self, event: api.Event) -> None:
+        for action in self.router.handle(self.now, event):
+            if isinstance(action, api.Send):
+                self.check_send(action)
+            elif isinstance(action, api.Refuse | api.Fail):
+                self.check_answer(action)
+            elif isinstance(action, api.Wake):
+                assert action.delay >= 0
+                # Timers are coarser than the clock: an alarm may come a little early, never at once.
+                delay = action.delay // MICRO * MICRO if self.coarse else action.delay
+                self.alarms.append((self.now + max(1, delay), action.token))
+
+    def check_send(self, action: api.Send) -> None:
+        one = self.held[action.id]
+        assert not one.ended, "rule 1: sent for an ended request"
+        assert action.server in self.known, "sent to a server no list named"
+        assert self.now <= self.left.get(action.server, self.now) + GRACE, "rule 3: sent to a draining server"
+        assert len(one.attempts) < self.options.max_attempts
+        assert all(outcome for _, _, outcome in one.attempts), "rule 2: two attempts out at once"
+        ran = [(server, sent) for server, sent, outcome in one.attempts if outcome not in PROVEN]
+        spec = self.options.classes[one.cls]
+        if ran and spec.effect == "unsafe":
+            raise AssertionError("rule 2: an unsafe request that may have run was sent again")
+        if ran and spec.effect == "keyed":
+            assert self.now < ran[0][1] + spec.window, "rule 2: keyed, past its window"
+            for server, _ in ran:
+                for place in ("zone", "cell"):
+                    if spec.group == place:
+                        first, then = self.known[server], self.known[action.server]
+                        assert getattr(first, place) == getattr(then, place), (
+                            "rule 2: keyed, out of its group"
+                        )
+        one.attempts.append((action.server, self.now, ""))
+        limit = one.deadline if action.timeout == 0 else min(one.deadline, self.now + action.timeout)
+        spread = self.dice.choice([MILLI, 100 * MILLI, 3 * SECOND])
+        when = min(limit, self.now + self.dice.randrange(1, spread))
+        self.due.append((when, action.id, len(one.attempts) - 1))
+
+    def check_answer(self, action: api.Refuse | api.Fail) -> None:
+        one = self.held[action.id]
+        assert not one.ended, "rule 1: a second final answer"
+        assert self.now <= one.deadline + 20 * MILLI, "rule 1: late"
+        spec = self.options.classes[one.cls]
+        ran = any(outcome not in PROVEN for _, _, outcome in one.attempts)
+        if isinstance(action, api.Refuse) and ran and spec.effect != "safe":
+            assert spec.effect == "keyed" and spec.group == "all", "rule 2: refused though it may have run"
+        one.ended = True
+
+    def arrive(self) -> None:
+        cls = self.dice.randrange(len(self.options.classes))
+        spec = self.options.classes[cls]
+        name = f"r{len(self.held)}"
+        deadline = self.now + int(spec.deadline * self.dice.uniform(0.05, 1))
+        self.held[name] = Held(cls, deadline)
+        key = self.dice.choice([None, "hot", f"k{self.dice.randrange(60)}"])
+        write = spec.effect != "safe" and self.options.aside
+        self.play(
+            api.Request(name, cls, deadline, key, write, self.dice.randrange(2), self.dice.random() < 0.2)
+        )
+
+    def relist(self) -> None:
+        if self.options.must_ask and self.dice.random() < 0.3:
+            self.play(api.Members(api.ListKind.FAILED, []))
+            return
+        entries = []
+        for name in (
+            self.dice.sample(sorted(self.known), self.dice.randrange(1, 4)) if len(self.known) > 3 else []
+        ):
+            old = self.known[name]
+            state = self.dice.choice([api.State.READY, api.State.DRAINING, api.State.GONE])
+            since = self.dice.choice([old.since, self.now])
+            entries.append(api.Member(name, state, old.kind, old.zone, old.cell, since))
+        if self.dice.random() < 0.4:
+            name = f"n{self.dice.randrange(8)}"
+            entries.append(
+                api.Member(name, zone=self.dice.randrange(2), cell=self.dice.randrange(3), since=self.now)
+            )
+        for entry in entries:
+            self.known[entry.server] = entry
+            if entry.state is api.State.READY:
+                self.left.pop(entry.server, None)
+            else:
+                self.left.setdefault(entry.server, self.now)
+        kind = api.ListKind.DELTA
+        if self.dice.random() < 0.2:
+            kind = api.ListKind.FULL
+            entries = [one for one in self.known.values() if one.server not in self.left]
+            for name in self.known:
+                if name not in {one.server for one in entries}:
+                    self.left.setdefault(name, self.now)
+        self.play(api.Members(kind, entries))
+
+    def finish(self, when: int, name: str, attempt: int) -> None:
+        one = self.held[name]
+        server, sent, _ = one.attempts[attempt]
+        trouble = self.dice.random() < self.trouble
+        outcome = self.dice.choice(ENDS) if trouble else "ok"
+        if when >= one.deadline:
+            outcome = "timeout"
+        if outcome == "ok" and server != "origin" and self.dice.random() < 0.4:
+            outcome = "miss"
+        one.attempts[attempt] = (server, sent, outcome)
+        closed = one.ended or outcome == "ok"
+        one.ended = closed
+        load = api.Load(inflight=self.dice.randrange(30), latency_ms=50, qps=20) if trouble else None
+        self.play(api.Outcome(name, attempt, server, api.Status(outcome), closed, self.now - sent, load=load))
+
+    def run(self, steps: int) -> None:
+        self.trouble = self.dice.choice([0.02, 0.3, 0.95])
+        for _ in range(steps):
+            self.advance(self.now + self.dice.choice([0, MILLI, 20 * MILLI, 300 * MILLI]))
+            self.dice.choices([self.arrive, self.relist, self.withdraw, self.restart], [40, 4, 2, 0.3])[0]()
+        self.advance(self.now + 10 * SECOND)
+        assert all(one.ended for one in self.held.values()), "rule 1: no answer"
+
+    def advance(self, end: int) -> None:
+        """Outcomes and alarms come in the order of their times; nobody may be left without an answer."""
+        while True:
+            when, name, attempt = min(self.due, default=(end + 1, "", 0))
+            alarm, token = min(self.alarms, default=(end + 1, ""))
+            if min(when, alarm) > end:
+                break
+            self.now = min(when, alarm)
+            if alarm <= when:
+                self.alarms.remove((alarm, token))
+                self.play(api.Alarm(token))
+            else:
+                self.due.remove((when, name, attempt))
+                self.finish(when, name, attempt)
+            for one in self.held.values():
+                assert one.ended or self.now <= one.deadline + 20 * MILLI, "rule 1: no answer in time"
+        self.now = end
+
+    def withdraw(self) -> None:
+        open_ones = [name for name, one in self.held.items() if not one.ended]
+        if open_ones:
+            name = self.dice.choice(open_ones)
+            self.held[name].ended = True
+            self.play(api.Withdrawn(name))
+
+    def restart(self) -> None:
+        self.start()
+
+
+@settings(derandomize=True, max_examples=120, deadline=None)
+@given(seed=st.integers(0, 2**32), mode=st.sampled_from(["aside", "through", "asked", "tenants"]))
+def test_rules_hold_over_random_legal_sequences(seed: int, mode: str) -> None:
+    World(seed, mode).run(150)
+
+
+def test_the_origin_dies_and_every_server_is_cut_off_at_once() -> None:
+    world = World(5, "aside")
+    world.trouble = 1.0
+    world.known = {one.server: one for one in fleet(6)}
+    world.play(api.Members(api.ListKind.FULL, list(world.known.values())))
+    for _ in range(300):
+        world.advance(world.now + 5 * MILLI)
+        world.arrive()
+    world.play(api.Members(api.ListKind.FULL, []))
+    world.left.update(dict.fromkeys(world.known, world.now))
+    for _ in range(50):
+        world.advance(world.now + 5 * MILLI)
+        world.arrive()
+    world.advance(world.now + 10 * SECOND)
+    assert all(one.ended for one in world.held.values())
+    assert world.router.jobs == {} and world.options.origin_kind == ORIGIN_KIND
--- /dev/null
+++ b/tests/test_throttle.py
@@ -0,0 +1,77 @@
+"""Hand-worked sequences of the throttle."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from applehub.interface import Request, RequestClass
+from applehub.logic import FEW_TOKENS, LEAST_TOTAL, Job, Throttle
+
+SECOND = 1_000_000_000
+SPEC = RequestClass(aim=SECOND, deadline=2 * SECOND)
+
+
+def job(name: str) -> Job:
+    return Job(Request(name, 0, 2 * SECOND), SPEC, SECOND)
+
+
+def test_few_tokens_then_waiting_then_refusal() -> None:
+    throttle = Throttle(0, 10.0, LEAST_TOTAL)
+    verdicts = [throttle.offer(job(str(n))) for n in range(LEAST_TOTAL + 2)]
+    assert verdicts == [True] * FEW_TOKENS + [None] * (LEAST_TOTAL - FEW_TOKENS) + [False] * 2
+    assert throttle.level == -(LEAST_TOTAL - FEW_TOKENS)
+
+
+def test_tokens_come_evenly_and_free_jobs_in_order() -> None:
+    throttle = Throttle(0, 10.0, LEAST_TOTAL)
+    for n in range(4):
+        throttle.offer(job(str(n)))
+    assert throttle.refill(SECOND // 10 - 1) == []
+    assert [one.request.id for one in throttle.refill(SECOND // 10)] == ["2"]
+    assert [one.request.id for one in throttle.refill(SECOND // 5)] == ["3"]
+    assert throttle.level == 0
+
+
+def test_a_full_bank_loses_tokens() -> None:
+    throttle = Throttle(0, 10.0, LEAST_TOTAL)
+    assert throttle.refill(5 * SECOND) == []
+    assert throttle.level == throttle.bank == FEW_TOKENS
+
+
+def test_sustained_overload_turns_buffer_into_bank_and_keeps_who_waits() -> None:
+    throttle = Throttle(0, 10.0, LEAST_TOTAL)
+    for n in range(6):
+        throttle.offer(job(str(n)))
+    throttle.shift(LEAST_TOTAL)
+    assert (throttle.bank, throttle.buffer) == (LEAST_TOTAL, 0)
+    assert throttle.offer(job("late")) is False
+    assert len(throttle.refill(SECOND)) == 4
+    assert throttle.level == 6
+
+
+def test_a_job_that_leaves_gives_its_place_back() -> None:
+    throttle = Throttle(0, 10.0, LEAST_TOTAL)
+    jobs = [job(str(n)) for n in range(4)]
+    for one in jobs:
+        throttle.offer(one)
+    assert throttle.leave(jobs[2])
+    assert not throttle.leave(jobs[2])
+    assert throttle.level == -1
+    assert throttle.refill(SECOND // 10) == [jobs[3]]
+
+
+@settings(derandomize=True, max_examples=200)
+@given(gaps=st.lists(st.integers(0, 3 * SECOND // 10), max_size=80), split=st.integers(0, LEAST_TOTAL))
+def test_only_the_sum_of_capacities_sets_what_passes(gaps: list[int], split: int) -> None:
+    """Berger's theorem 2: from matching levels the same arrivals are blocked at the same places."""
+    blocked = []
+    for bank in (LEAST_TOTAL, split):
+        throttle = Throttle(0, 10.0, LEAST_TOTAL)
+        throttle.bank, throttle.buffer, throttle.level = bank, LEAST_TOTAL - bank, bank
+        now, places = 0, []
+        for place, gap in enumerate(gaps):
+            now += gap
+            throttle.refill(now)
+            if throttle.offer(job(str(place))) is False:
+                places.append(place)
+        blocked.append(places)
+    assert blocked[0] == blocked[1]
--- /dev/null
+++ b/tests/test_wirehost.py
@@ -0,0 +1,191 @@
+"""The adapter as a process: replies, bad input, and one process against several."""
+
+import json
+import random
+import subprocess
+import sys
+from typing import Any
+
+import pytest
+
+SECOND = 1_000_000_000
+INFO: dict[str, Any] = {
+    "classes": [
+        {"aim": SECOND, "deadline": 2 * SECOND},
+        {"aim": SECOND, "deadline": 2 * SECOND, "effect": "unsafe"},
+    ],
+    "ceilings": {"attemptsCap": 4, "unheard": 1},
+    "safety": {"coldFrom": 0.2, "rampTime": 10 * SECOND},
+    "specifics": {"mode": "aside", "originKind": 1},
+    "unheard": {"of": 1},
+}
+Json = dict[str, Any]
+
+
+def play(lines: list[str]) -> subprocess.CompletedProcess[str]:
+    return subprocess.run(
+        [sys.executable, "-m", "applehub.wirehost"],
+        input="".join(f"{line}\n" for line in lines),
+        text=True,
+        capture_output=True,
+    )
+
+
+def batch(clock: int, *messages: Json) -> str:
+    return json.dumps({"clock": clock, "msgs": messages})
+
+
+def up(instance: int, info: Any = INFO) -> Json:
+    return {"t": "UP", "i": instance, "nonce64": 5, "info": info}
+
+
+def listed(instance: int, count: int = 3) -> Json:
+    elements: list[Json] = [{"stageState": "SERVING", "server": f"s{n}", "since": None} for n in range(count)]
+    elements.append(
+        {"stageState": "SERVING", "server": "o", "machine": 1, "hall": 0, "stripe": 0, "units": 1}
+    )
+    return {"t": "DISCOVERY", "i": instance, "kind": "restored", "stamp": 1, "elements": elements}
+
+
+def item(instance: int, name: str, key: str = "k", clock: int = SECOND) -> Json:
+    fields = {"msgId": name, "cls": 0, "validUntil": clock + 2 * SECOND, "targetKey": key, "mutates": None}
+    return {"t": "WORK_ITEM", "i": instance, "owner": None, **fields}
+
+
+def done(instance: int, send: Json, number: int, how: str) -> Json:
+    fields = {"msgId": send["msgId"], "sendNo": number, "server": send["server"], "disposition": how}
+    feedback = {"outstanding": 2, "recent_ms": 12.5, "throughput": 9, "x0": 0.4, "utilization": None}
+    return {
+        "t": "DONE",
+        "i": instance,
+        "costTime": 5,
+        "ended": how == "completed",
+        "feedback": feedback,
+        **fields,
+    }
+
+
+def replies(result: subprocess.CompletedProcess[str]) -> list[list[Json]]:
+    return [json.loads(line)["output"] for line in result.stdout.splitlines()]
+
+
+def test_an_empty_batch_and_the_end_of_input() -> None:
+    result = play([batch(1)])
+    assert (result.returncode, result.stdout, result.stderr) == (0, '{"output":[]}\n', "")
+    assert play([]).returncode == 0
+
+
+def test_a_request_is_sent_on_the_wire() -> None:
+    result = play([batch(SECOND, up(0), listed(0), item(0, "a"))])
+    sends = [action for action in replies(result)[0] if action["t"] == "DISPATCH"]
+    assert len(sends) == 1 and sends[0]["msgId"] == "a" and sends[0]["server"] in {"s0", "s1", "s2"}
+    assert result.stderr == ""
+
+
+def test_outcomes_reports_and_every_other_event_are_read() -> None:
+    first = replies(play([batch(SECOND, up(0), listed(0), item(0, "a"))]))[0]
+    (send,) = [action for action in first if action["t"] == "DISPATCH"]
+    result = play(
+        [
+            batch(SECOND, up(0), listed(0), item(0, "a")),
+            batch(SECOND + 5, done(0, send, 0, "lookup_miss"), {"t": "FIRED", "i": 0, "nonce": "due"}),
+            batch(
+                SECOND + 6,
+                {
+                    "t": "ECHO",
+                    "i": 0,
+                    "server": "s0",
+                    "disposition": "completed",
+                    "costTime": 1,
+                    "feedback": None,
+                },
+                {"t": "MEMO", "i": 0, "sender": 1, "payload": "00"},
+                {"t": "OPENED", "i": 0, "msgId": "a", "sendNo": 1, "server": "o", "costTime": 1},
+                {"t": "WITHDRAWN", "i": 0, "msgId": "a"},
+                {"t": "DESTROY", "i": 0},
+            ),
+        ]
+    )
+    assert result.returncode == 0 and result.stderr == ""
+    assert [action["server"] for action in replies(result)[1] if action["t"] == "DISPATCH"] == ["o"]
+
+
+@pytest.mark.parametrize(
+    ("line", "names"),
+    [
+        ("{not json", "line 1: not JSON"),
+        ("[]", "line 1: a batch needs"),
+        ('{"msgs":[]}', "line 1: a batch needs the fields clock and msgs: 'clock'"),
+        ('{"clock":"1","msgs":[]}', "line 1: a batch needs an integer clock"),
+        ('{"clock":1,"msgs":[{"i":0}]}', "line 1: msgs[0] lacks a field or has a bad one: 't'"),
+        ('{"clock":1,"msgs":[7]}', "line 1: msgs[0]"),
+    ],
+)
+def test_a_line_that_is_no_batch_ends_the_process_plainly(line: str, names: str) -> None:
+    result = play([line])
+    assert result.returncode == 2 and result.stdout == ""
+    assert result.stderr.startswith(names) and result.stderr.count("\n") == 1
+
+
+def test_a_message_that_lacks_a_field_is_named() -> None:
+    lacking = item(0, "a")
+    del lacking["validUntil"]
+    result = play([batch(SECOND, up(0), listed(0)), batch(SECOND, lacking)])
+    assert result.returncode == 2
+    assert result.stderr == "line 2: msgs[0] lacks a field or has a bad one: 'validUntil'\n"
+
+
+def test_unknown_events_and_instances_that_are_not_up_are_skipped() -> None:
+    result = play([batch(SECOND, up(0), listed(0), {"t": "NEWS", "i": 0}, item(4, "a"))])
+    assert result.returncode == 0
+    assert "unknown event 'NEWS'" in result.stderr and "instance 4, which is not up" in result.stderr
+    assert not [action for action in replies(result)[0] if action["i"] == 4]
+
+
+@pytest.mark.parametrize(
+    ("change", "names"),
+    [
+        ({"classes": None}, "classes is missing"),
+        ({"classes": []}, "classes makes no sense"),
+        ({"classes": [{"aim": 0, "deadline": 5}]}, "classes[0].aim makes no sense"),
+        ({"classes": [{"aim": 1, "deadline": 5, "effect": "odd"}]}, "classes[0].effect makes no sense"),
+        ({"ceilings": None}, "ceilings is missing"),
+        ({"safety": {"rampTime": "soon"}}, "safety.rampTime makes no sense"),
+        ({"specifics": {"mode": "sideways"}}, "specifics.mode makes no sense"),
+        ({"registryMode": 3}, "registryMode makes no sense"),
+        ({"tenants": [3]}, "tenants makes no sense"),
+    ],
+)
+def test_bad_settings_are_named_and_end_that_instance_only(change: Json, names: str) -> None:
+    result = play([batch(SECOND, up(0, {**INFO, **change}), up(1), listed(1), item(1, "a"))])
+    output = replies(result)[0]
+    assert result.returncode == 0 and output[0]["t"] == "DIE" and output[0]["i"] == 0
+    assert names in output[0]["msg"]
+    assert [action["i"] for action in output if action["t"] == "DISPATCH"] == [1]
+
+
+def test_an_exception_in_the_decisions_is_told_with_its_text() -> None:
+    wrong = item(0, "a")
+    wrong["cls"] = 7
+    result = play([batch(SECOND, up(0), listed(0), wrong)])
+    (fault,) = [action for action in replies(result)[0] if action["t"] == "DIE"]
+    assert fault["msg"].startswith("IndexError") and "Traceback" in result.stderr
+    assert result.returncode == 0
+
+
+def test_one_process_and_several_give_the_same_actions() -> None:
+    dice = random.Random(3)
+    script: list[list[Json]] = [[up(i) for i in range(3)] + [listed(i) for i in range(3)]]
+    for n in range(60):
+        script.append([item(dice.randrange(3), f"r{n}", f"k{dice.randrange(9)}", (n + 2) * SECOND // 50)])
+    together: dict[int, list[Json]] = {i: [] for i in range(3)}
+    apart: dict[int, list[Json]] = {i: [] for i in range(3)}
+    whole = play([batch(SECOND + n * SECOND // 50, *messages) for n, messages in enumerate(script)])
+    for output in replies(whole):
+        for action in output:
+            together[action["i"]].append(action)
+    for i in range(3):
+        own = [[one for one in messages if one["i"] == i] for messages in script]
+        for output in replies(play([batch(SECOND + n * SECOND // 50, *ones) for n, ones in enumerate(own)])):
+            apart[i] += output
+    assert together == apart and all(together.values())
