--- /dev/null
+++ b/applehub/__main__.py
@@ -0,0 +1,129 @@
+"""The real router: reads its configuration, wires the parts together, and ends well on SIGTERM."""
+
+import asyncio
+import gc
+import logging
+import os
+import signal
+import sys
+from dataclasses import dataclass
+
+import orjson
+
+from applehub.interface import Settings
+from applehub.logic import Balancer
+from applehub.node.clients import Clients
+from applehub.node.discovery import Directory, ListError, Watch, read_endpoint
+from applehub.node.driver import Driver
+from applehub.node.pool import Endpoint, Pools
+from applehub.settings import (
+    Ceilings,
+    Json,
+    Names,
+    SettingError,
+    read_ceilings,
+    read_names,
+    read_settings,
+)
+
+STILL_ACCEPTING = 0.5  # s after SIGTERM in which clients are still sent here
+ALL_ANSWERED = 2.2  # s after SIGTERM by which all has its answer
+GONE_BY = 2.4  # s after SIGTERM at which the router ends, whatever a slow reader has not read
+log = logging.getLogger("applehub")
+
+
+class ConfigurationError(ValueError):
+    """The configuration is missing or makes no sense."""
+
+
+@dataclass(slots=True)
+class Configuration:
+    """What the router is told at its start."""
+
+    listen: Endpoint
+    discovery: Endpoint
+    seed: int
+    sockets: int
+    known: Json
+    settings: Settings
+    names: Names
+    ceilings: Ceilings
+
+
+def read_configuration(path: str | None) -> Configuration:
+    if not path:
+        raise ConfigurationError("BALANCER_CONFIG names no file")
+    try:
+        with open(path, "rb") as file:
+            told = orjson.loads(file.read())
+        if not isinstance(told, dict):
+            raise ConfigurationError(f"{path}: not an object")
+        info = told.get("settings")
+        if not isinstance(info, dict):
+            raise ConfigurationError(f"{path}: settings is missing or not an object")
+        limits = told.get("limits")
+        sockets = limits.get("sockets", 1024) if isinstance(limits, dict) else 1024
+        if type(sockets) is not int or sockets < 64:
+            raise ConfigurationError(f"{path}: limits.sockets makes no sense: {sockets!r}")
+        return Configuration(
+            read_endpoint(told.get("listen")),
+            read_endpoint(told.get("discovery")),
+            int(str(told.get("seed") or "0"), 16),
+            sockets,
+            told.get("known") or {"rev": 0, "targets": []},
+            read_settings(info),
+            read_names(info),
+            read_ceilings(info),
+        )
+    except (OSError, orjson.JSONDecodeError, SettingError, ListError, ValueError) as problem:
+        if isinstance(problem, ConfigurationError):
+            raise
+        raise ConfigurationError(f"{path}: {problem}") from None
+
+
+async def serve(told: Configuration) -> None:
+    """Runs the router until it is told to stop and holds nothing more."""
+    stopping, loop = asyncio.Event(), asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, stopping.set)
+    pools = Pools(told.sockets * 3 // 8, told.ceilings.dial_timeout / 1e9, told.ceilings.keepalive / 1e9)
+    driver = Driver(Balancer(told.settings, told.seed), pools, told.ceilings.most_held)
+    clients = Clients(driver, told.names, told.sockets // 2)
+    origin_kind = told.settings.origin_kind if told.settings.aside else -1
+    directory = Directory(told.names, origin_kind, pools, driver.members)
+    watch = Watch(told.discovery, directory, told.seed, told.settings.must_ask)
+    driver.watch = watch.start
+    clients.can_serve = lambda: directory.can_serve
+    try:
+        directory.take(told.known, cached=True)
+    except ListError as problem:
+        log.warning("the known list is of no use: %s", problem)
+    try:
+        await clients.listen(*told.listen)
+    except OSError as problem:
+        raise ConfigurationError(f"can't listen on {told.listen[0]}:{told.listen[1]}: {problem}") from None
+    if not told.settings.must_ask:
+        watch.start()
+    await stopping.wait()
+    log.info("told to stop")
+    begun = loop.time()
+    driver.stop(ALL_ANSWERED)
+    await asyncio.sleep(STILL_ACCEPTING)
+    clients.close()
+    await clients.emptied(begun + GONE_BY - loop.time())
+    watch.stop()
+
+
+def main() -> int:
+    logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s")
+    try:
+        told = read_configuration(os.environ.get("BALANCER_CONFIG"))
+        gc.freeze()
+        asyncio.run(serve(told))
+    except ConfigurationError as problem:
+        print(f"applehub: {problem}", file=sys.stderr)
+        return 2
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/applehub/node/discovery.py
@@ -0,0 +1,239 @@
+"""The watch on the list of servers: what it says goes to the pools, then to the decisions."""
+
+import asyncio
+import logging
+import random
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, cast
+
+import orjson
+
+from applehub import interface as api
+from applehub.node.caches import CacheConnection
+from applehub.node.http1 import Answer, Http, HttpError
+from applehub.node.origin import OriginConnection
+from applehub.node.pool import Endpoint, Pools
+from applehub.settings import Json, Names
+
+HOLD = 5.0  # s that a watch may be held; one that is silent for longer has failed
+PATIENCE = 2.0  # s for an answer that need not wait
+FIRST_PAUSE, MOST_PAUSE = 0.05, 1.0  # s between failed calls
+MOST_LIST = 8 << 20
+STATES = {"Ready": api.State.READY, "Terminating": api.State.DRAINING, "Gone": api.State.GONE}
+log = logging.getLogger("applehub")
+
+
+class ListError(ValueError):
+    """A list, or an entry of it, that can't be read."""
+
+
+@dataclass(slots=True)
+class Target:
+    """One entry of the list, and where this router dials it."""
+
+    member: api.Member
+    endpoint: Endpoint
+    boot: float  # the time of its latest start on the loop's clock, 0 for long ago
+
+
+def read_endpoint(text: object) -> Endpoint:
+    host, colon, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
+    if not host or not colon or not port.isdecimal() or not int(port) < 65_536:
+        raise ListError(f"no address: {text!r}")
+    return host.strip("[]"), int(port)
+
+
+class Directory:
+    """The list as this router holds it: versions, pools, and the event for the decisions."""
+
+    def __init__(
+        self, names: Names, origin_kind: int, pools: Pools, tell: Callable[[api.Members], None]
+    ) -> None:
+        self.names, self.origin_kind, self.pools, self.tell = names, origin_kind, pools, tell
+        self.rev = -1
+        self.targets: dict[str, Target] = {}
+        self.origin_of_time = time.time_ns() - time.monotonic_ns()  # once, so that a start keeps its time
+
+    @property
+    def can_serve(self) -> bool:
+        return any(
+            one.member.state is api.State.READY and one.member.kind != self.origin_kind
+            for one in self.targets.values()
+        )
+
+    def take(self, answer: Any, cached: bool = False) -> bool:
+        """Takes up a list or changes of it; whether it was of use. An older version changes nothing."""
+        if not isinstance(answer, dict) or not isinstance(answer.get("targets"), list):
+            raise ListError("no list of servers")
+        rev, whole = answer.get("rev"), answer.get("all") is True or cached
+        if type(rev) is not int:
+            raise ListError(f"no version: {rev!r}")
+        if rev < self.rev or (rev == self.rev and not whole):
+            return rev == self.rev
+        self.rev = rev
+        entries = [target for one in answer["targets"] if (target := self._read(one)) is not None]
+        if whole:
+            named = {target.member.server for target in entries}
+            for name in [name for name in self.targets if name not in named]:
+                self._drop(name)
+        elif not entries:
+            return True
+        for target in entries:
+            self._place(target)
+        kind = api.ListKind.FULL if whole else api.ListKind.DELTA
+        self.tell(api.Members(api.ListKind.CACHED if cached else kind, [one.member for one in entries]))
+        return True
+
+    def _read(self, entry: Any) -> Target | None:
+        """Reads an entry; one that makes no sense is skipped, and the others stand."""
+        try:
+            return self._target(entry)
+        except (ListError, KeyError, TypeError, ValueError, AttributeError) as problem:
+            log.warning("an entry of the list is skipped: %s: %s", type(problem).__name__, problem)
+            return None
+
+    def _target(self, entry: Json) -> Target:
+        name, boot, weight = entry["uid"], entry.get("boot_ms") or 0, entry.get("capacity_hint", 1.0)
+        if not isinstance(name, str) or not name:
+            raise ListError("no uid")
+        since = 0 if boot <= 0 else max(1, int(boot) * 1_000_000 - self.origin_of_time)
+        member = api.Member(
+            name,
+            STATES[entry["state"]],
+            self.names.kinds[entry["model"]],
+            self.names.zones[entry["az"]],
+            int(entry.get("pod_group") or 0),
+            since,
+            1.0 if weight is None else float(weight),
+        )
+        return Target(member, read_endpoint(entry["endpoint"]), since / 1e9)
+
+    def _place(self, target: Target) -> None:
+        name = target.member.server
+        if target.member.state is api.State.GONE:
+            self._drop(name)
+            return
+        make = OriginConnection if target.member.kind == self.origin_kind else CacheConnection
+        pool = self.pools.add(name, target.endpoint, make)
+        known = self.targets.get(name)
+        if known is not None and known.boot != target.boot:
+            pool.forget_before(target.boot)
+        if target.member.state is not api.State.READY:
+            pool.retire()
+        self.targets[name] = target
+
+    def _drop(self, name: str) -> None:
+        self.targets.pop(name, None)
+        self.pools.remove(name)
+
+
+class _Line(asyncio.Protocol):
+    """A connection to discovery."""
+
+    def __init__(self, host: str) -> None:
+        self.http = Http(host, MOST_LIST)
+        self.transport: asyncio.Transport | None = None
+        self.answer: asyncio.Future[Answer] | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+
+    def data_received(self, data: bytes) -> None:
+        if self.answer is None or self.answer.done():
+            self.close()
+            return
+        try:
+            answer = self.http.receive(data)
+        except HttpError as problem:
+            self.answer.set_exception(problem)
+            return
+        if answer is not None:
+            self.answer.set_result(answer)
+
+    def eof_received(self) -> None:
+        if self.answer is not None and not self.answer.done():
+            self.data_received(b"")
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.transport = None
+        if self.answer is not None and not self.answer.done():
+            self.answer.set_exception(ConnectionResetError("discovery closed the connection"))
+
+    async def get(self, target: str) -> Answer:
+        if self.transport is None:
+            raise ConnectionResetError("discovery closed the connection")
+        self.answer = asyncio.get_running_loop().create_future()
+        self.transport.write(self.http.request(b"GET", target.encode()))
+        answer = await self.answer
+        if not self.http.next_cycle():
+            self.close()
+        return answer
+
+    def close(self) -> None:
+        if self.transport is not None:
+            self.transport.abort()
+            self.transport = None
+
+
+class Watch:
+    """Asks discovery for the list and then for what changes, one call right after the other."""
+
+    def __init__(self, endpoint: Endpoint, directory: Directory, seed: int, must_ask: bool) -> None:
+        self.endpoint, self.directory, self.must_ask = endpoint, directory, must_ask
+        self.random = random.Random(seed)
+        self.line: _Line | None = None
+        self.task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Begins to watch; while a watch is on, it goes on."""
+        if self.task is None or self.task.done():
+            self.task = asyncio.get_running_loop().create_task(self._run())
+
+    def stop(self) -> None:
+        if self.task is not None:
+            self.task.cancel()
+        if self.line is not None:
+            self.line.close()
+
+    async def _run(self) -> None:
+        pause, whole = FIRST_PAUSE, True
+        while True:
+            try:
+                await self._call(whole)
+                pause, whole = FIRST_PAUSE, False
+                continue
+            except (OSError, TimeoutError, HttpError, ListError, orjson.JSONDecodeError) as problem:
+                log.warning("discovery did not answer: %s: %s", type(problem).__name__, problem)
+            except Exception:
+                log.exception("an answer of discovery could not be taken up")
+            whole = True
+            if self.line is not None:
+                self.line.close()
+            if self.must_ask:
+                # Here the decisions say when to ask again; told once this watch has ended.
+                failed = api.Members(api.ListKind.FAILED, [])
+                asyncio.get_running_loop().call_soon(self.directory.tell, failed)
+                return
+            await asyncio.sleep(pause * self.random.uniform(0.5, 1.0))
+            pause = min(2 * pause, MOST_PAUSE)
+
+    async def _call(self, whole: bool) -> None:
+        target, patience = "/api/targets", PATIENCE
+        if not whole:
+            target += f"?from={self.directory.rev}&hold_ms={int(HOLD * 1000)}"
+            patience += HOLD
+        async with asyncio.timeout(patience):
+            line = await self._connected()
+            answer = await line.get(target)
+        if answer.status != 200:
+            raise HttpError(f"status {answer.status}")
+        self.directory.take(orjson.loads(bytes(answer.body)))
+
+    async def _connected(self) -> _Line:
+        if self.line is None or self.line.transport is None:
+            host, port = self.endpoint
+            loop = asyncio.get_running_loop()
+            _, self.line = await loop.create_connection(lambda: _Line(f"{host}:{port}"), host, port)
+        return self.line
--- /dev/null
+++ b/applehub/node/driver.py
@@ -0,0 +1,217 @@
+"""Events in, actions out: holds the requests, attempts and timers of the router, and chooses nothing."""
+
+import asyncio
+import logging
+import time
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from applehub import interface as api
+from applehub.logic import Balancer
+from applehub.node import resp
+from applehub.node.call import Call, Ending, Exchange
+from applehub.node.pool import Connection, Pools
+
+MILLI = 1_000_000
+SECOND = 1_000_000_000
+WAY_BACK = 8 * MILLI  # kept of a client's time so that the last answer reaches it before it leaves
+MOST_HELD_BYTES = 48 << 20  # of the values that wait here
+log = logging.getLogger("applehub")
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """One attempt that is out."""
+
+    held: "Held"
+    number: int
+    server: str
+    sent: int
+    connection: Connection | None = None
+    timer: asyncio.TimerHandle | None = None
+
+
+@dataclass(slots=True, eq=False)
+class Held:
+    """A request and what is known of it; open until its one answer has been given."""
+
+    id: str
+    call: Call
+    reply: Callable[[bytes], None]
+    deadline: int
+    open: bool = True
+    made: int = 0
+    attempt: Attempt | None = None
+    guard: asyncio.TimerHandle | None = None
+
+
+class Driver:
+    """The host of one Balancer."""
+
+    def __init__(self, balancer: Balancer, pools: Pools, most_held: int) -> None:
+        self.balancer, self.pools, self.most_held = balancer, pools, most_held
+        self.loop = asyncio.get_running_loop()
+        self.held: dict[str, Held] = {}
+        self.held_bytes = 0
+        self.watch: Callable[[], None] = lambda: None
+        self.stop_at = 0  # when all must be answered, once the router is told to stop
+        self._events: deque[api.Event] = deque()
+        self._playing = False
+
+    def take(self, call: Call, reply: Callable[[bytes], None]) -> Held | None:
+        """Takes a client's call; reply is called once. None where it is answered already."""
+        name = call.id.decode()
+        if name in self.held:
+            reply(resp.error("this id is in use"))
+            return None
+        if len(self.held) >= self.most_held or self.held_bytes + call.size > MOST_HELD_BYTES:
+            reply(resp.refused(0))  # not begun, so that repeating is harmless
+            return None
+        now = time.monotonic_ns()
+        spec = self.balancer.settings.classes[call.cls]
+        until = now + (spec.deadline if call.wait is None else call.wait * MILLI)
+        until = min(until, self.stop_at or until)
+        held = self.held[name] = Held(name, call, reply, until - WAY_BACK)
+        self.held_bytes += call.size
+        held.guard = self.loop.call_at(until / SECOND, self._overdue, held)
+        key = call.key.decode("latin-1")
+        write = call.value is not None
+        self._tell(api.Request(name, call.cls, held.deadline, key, write, call.tenant, call.repeat))
+        return held
+
+    def withdraw(self, held: Held) -> None:
+        """The client has left. Its attempt runs on: the connection stays of use."""
+        if held.open:
+            self._close(held)
+            self._tell(api.Withdrawn(held.id))
+            self._forget(held)
+
+    def members(self, event: api.Members) -> None:
+        self._tell(event)
+
+    def stop(self, by: float) -> None:
+        """Nothing is held for longer than these seconds from now."""
+        self.stop_at = time.monotonic_ns() + int(by * SECOND)
+        self.loop.call_later(by - WAY_BACK / SECOND, self._end_all)
+
+    def _end_all(self) -> None:
+        for held in list(self.held.values()):
+            self._overdue(held)
+
+    def _overdue(self, held: Held) -> None:
+        """Guards rule 1 against a request that the decisions have lost: it fails in time all the same."""
+        if held.open:
+            self._answer(held, resp.FAILED)
+            self._tell(api.Withdrawn(held.id))
+            self._forget(held)
+
+    def _tell(self, event: api.Event) -> None:
+        """Plays an event, and then those that its actions bring about, in order."""
+        self._events.append(event)
+        if self._playing:
+            return
+        self._playing = True
+        try:
+            while self._events:
+                self._play(self._events.popleft())
+        finally:
+            self._playing = False
+
+    def _play(self, event: api.Event) -> None:
+        try:
+            actions = self.balancer.handle(time.monotonic_ns(), event)
+        except Exception:
+            log.exception("an event could not be decided on: %s", type(event).__name__)
+            self._abandon(getattr(event, "id", ""))
+            return
+        for action in actions:
+            try:
+                self._act(action)
+            except Exception:
+                log.exception("an action could not be carried out: %s", type(action).__name__)
+                self._abandon(getattr(action, "id", ""))
+
+    def _abandon(self, name: str) -> None:
+        held = self.held.get(name)
+        if held is not None:
+            self._overdue(held)
+
+    def _act(self, action: api.Action) -> None:
+        match action:
+            case api.Send():
+                self._send(action)
+            case api.Refuse() | api.Fail():
+                held = self.held.get(action.id)
+                if held is not None and held.open:
+                    later = action.retry_after if isinstance(action, api.Refuse) else 0
+                    refusal = resp.refused(-(-later // MILLI))
+                    self._answer(held, refusal if isinstance(action, api.Refuse) else resp.FAILED)
+                    self._forget(held)
+            case api.Wake():
+                self.loop.call_later(action.delay / SECOND, self._tell, api.Alarm(action.token))
+            case api.Watch():
+                self.watch()
+            case api.Log():
+                log.info("%s", action.text)
+
+    def _send(self, action: api.Send) -> None:
+        held, now = self.held.get(action.id), time.monotonic_ns()
+        if held is None:
+            log.error("a send for a request that is not held")
+            return
+        number, held.made = held.made, held.made + 1
+        attempt = Attempt(held, number, action.server, now)
+        left = held.deadline - now
+        wait = min(action.timeout, left) if action.timeout else left
+        pool = self.pools.pools.get(action.server)
+        allowed = held.open and held.attempt is None and number < self.balancer.settings.max_attempts
+        if pool is None or pool.retired or not allowed or wait <= 0:
+            self._outcome(attempt, Ending(api.Status.MOOT))
+            return
+        held.attempt = attempt
+        attempt.timer = self.loop.call_later(wait / SECOND, self._timeout, attempt)
+        exchange = Exchange(held.call, max(1, wait // MILLI), lambda ending: self._ended(attempt, ending))
+        attempt.connection = pool.start(exchange)
+        if attempt.connection is None:
+            self._ended(attempt, Ending(api.Status.FULL))
+
+    def _timeout(self, attempt: Attempt) -> None:
+        """The connection is closed before the decisions hear of it, so that no second copy is ever out."""
+        if attempt.held.attempt is attempt and attempt.connection is not None:
+            may_have_run = attempt.connection.give_up()
+            self._ended(attempt, Ending(api.Status.TIMEOUT if may_have_run else api.Status.MOOT))
+
+    def _ended(self, attempt: Attempt, ending: Ending) -> None:
+        held = attempt.held
+        if held.attempt is not attempt:
+            return
+        held.attempt = None
+        if attempt.timer is not None:
+            attempt.timer.cancel()
+        if ending.status is api.Status.OK and held.open:
+            self._answer(held, resp.bulk(ending.value))
+        self._outcome(attempt, ending)
+        self._forget(held)
+
+    def _outcome(self, attempt: Attempt, ending: Ending) -> None:
+        held, elapsed = attempt.held, time.monotonic_ns() - attempt.sent
+        self._tell(
+            api.Outcome(
+                held.id, attempt.number, attempt.server, ending.status, not held.open, elapsed, ending.note
+            )
+        )
+
+    def _answer(self, held: Held, answer: bytes) -> None:
+        self._close(held)
+        held.reply(answer)
+
+    def _close(self, held: Held) -> None:
+        held.open = False
+        if held.guard is not None:
+            held.guard.cancel()
+
+    def _forget(self, held: Held) -> None:
+        """Drops a request that is answered and has no attempt out."""
+        if not held.open and held.attempt is None and self.held.pop(held.id, None) is not None:
+            self.held_bytes -= held.call.size
--- /dev/null
+++ b/applehub/node/origin.py
@@ -0,0 +1,44 @@
+"""Connections to the origin: HTTP/1.1."""
+
+from urllib.parse import quote_from_bytes
+
+from applehub.interface import Status
+from applehub.node.call import Ending, Exchange
+from applehub.node.http1 import Answer, Http, HttpError
+from applehub.node.pool import Connection, Pool
+from applehub.node.resp import MOST_VALUE
+
+
+def ending_of(answer: Answer) -> Ending:
+    """What the origin's answer says. A 503 or 504 proves nothing unless the origin itself says so."""
+    if answer.status == 200:
+        return Ending(Status.OK, bytes(answer.body))
+    rejected = answer.status in (503, 504) and answer.headers.get(b"x-rejected") == b"1"
+    return Ending(Status.FULL if rejected else Status.ERROR)
+
+
+class OriginConnection(Connection):
+    """A connection to the origin."""
+
+    def __init__(self, pool: Pool) -> None:
+        super().__init__(pool)
+        self.http = Http(f"{pool.endpoint[0]}:{pool.endpoint[1]}", MOST_VALUE)
+
+    def encode(self, exchange: Exchange) -> bytes:
+        call = exchange.call
+        headers = [(b"X-Call-Id", call.id), (b"X-Call-Info", call.info)]
+        target = f"/{quote_from_bytes(call.key, safe='')}".encode()
+        return self.http.request(b"GET" if call.value is None else b"PUT", target, headers, call.value)
+
+    def read(self, data: bytes) -> None:
+        try:
+            answer = self.http.receive(data)
+        except HttpError:
+            self.spoil()
+            return
+        if answer is not None:
+            self.finish(ending_of(answer), self.http.next_cycle())
+
+    def eof_received(self) -> None:
+        if self.exchange is not None:
+            self.read(b"")  # the end of the stream may be the end of an answer
--- /dev/null
+++ b/applehub/node/pool.py
@@ -0,0 +1,239 @@
+"""Connections to one server and which of them an attempt uses; what they speak is the subclass's."""
+
+import asyncio
+import contextlib
+import logging
+import socket
+from abc import abstractmethod
+from collections.abc import Callable
+from typing import cast
+
+from applehub.interface import Status
+from applehub.node.call import Ending, Exchange
+
+IDLE_MOST = 10.0  # s after which an idle connection is surplus: it costs more than opening one anew
+IDLE_PART = 0.8  # of the server's keepalive: closed well before the server does
+SWEEP = 1.0
+Endpoint = tuple[str, int]
+log = logging.getLogger("applehub")
+
+
+class Connection(asyncio.Protocol):
+    """A connection that carries one attempt at a time and tells how it ended."""
+
+    def __init__(self, pool: "Pool") -> None:
+        self.pool = pool
+        self.exchange: Exchange | None = None
+        self.transport: asyncio.Transport | None = None
+        self.dialling: asyncio.Task[None] | None = None
+        self.unsent = True  # the last byte of what is asked is not yet with the system
+        self.since = 0.0  # when it was opened
+        self.idle_since = 0.0
+
+    @abstractmethod
+    def encode(self, exchange: Exchange) -> bytes:
+        """The bytes to write for an attempt."""
+
+    @abstractmethod
+    def read(self, data: bytes) -> None:
+        """Takes in what came while an attempt is out; ends it by finish or spoil."""
+
+    def ask(self, exchange: Exchange) -> None:
+        self.exchange = exchange
+        if self.transport is not None:
+            self._write()
+
+    def _write(self) -> None:
+        assert self.exchange is not None and self.transport is not None
+        try:
+            asked = self.encode(self.exchange)
+        except Exception:
+            log.exception("an attempt could not be written")
+            self.finish(Ending(Status.MOOT), reusable=False)
+            return
+        self.unsent = False
+        self.transport.write(asked)
+        # A write that failed at once handed nothing over: what it asked for never ran.
+        self.unsent = self.unsent or self.transport.is_closing()
+
+    def give_up(self) -> bool:
+        """Ends the attempt that is out; whether it may have run. Guards against second copies: the system
+        is told to close before this returns, and so before anybody may send another attempt."""
+        self.exchange, unsent = None, self.unsent
+        self.close()
+        return not unsent
+
+    def close(self) -> None:
+        self.pool.drop(self)
+        if self.transport is None:
+            if self.dialling is not None:
+                self.dialling.cancel()
+            return
+        with contextlib.suppress(OSError):
+            self.transport.get_extra_info("socket").shutdown(socket.SHUT_RDWR)
+        self.transport.abort()
+
+    def finish(self, ending: Ending, reusable: bool = True) -> None:
+        exchange, self.exchange = self.exchange, None
+        if reusable:
+            self.pool.release(self)
+        else:
+            self.close()
+        if exchange is not None:
+            exchange.done(ending)
+
+    def spoil(self) -> None:
+        """What came can't be read: the attempt is reset and the connection of no further use."""
+        self.finish(Ending(Status.RESET), reusable=False)
+
+    def lost(self) -> None:
+        """The connection is gone or never came up."""
+        status = Status.CONNECT_FAILED if self.unsent else Status.RESET
+        self.pool.drop(self)
+        exchange, self.exchange = self.exchange, None
+        if exchange is not None:
+            exchange.done(Ending(status))
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        self.transport.set_write_buffer_limits(0)  # so that every byte that waits here is told
+        if self.exchange is None:
+            self.close()
+        else:
+            self._write()
+
+    def pause_writing(self) -> None:
+        self.unsent = True
+
+    def resume_writing(self) -> None:
+        self.unsent = False
+
+    def data_received(self, data: bytes) -> None:
+        if self.exchange is None:
+            self.close()  # nothing was asked
+            return
+        try:
+            self.read(data)
+        except Exception:
+            log.exception("an answer could not be handled")
+            self.spoil()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.lost()
+
+
+class Pool:
+    """The connections to one server. The newest idle one is used first, so that surplus ones age."""
+
+    def __init__(self, pools: "Pools", endpoint: Endpoint, make: "Callable[[Pool], Connection]") -> None:
+        self.pools, self.endpoint, self.make = pools, endpoint, make
+        self.idle: list[Connection] = []
+        self.all: set[Connection] = set()
+        self.retired = False
+
+    def start(self, exchange: Exchange) -> Connection | None:
+        """Begins an attempt; none where the router may open no more connections."""
+        if self.idle:
+            connection = self.idle.pop()
+            connection.ask(exchange)
+            return connection
+        if not self.pools.room():
+            return None
+        connection = self.make(self)
+        self.all.add(connection)
+        connection.exchange = exchange
+        connection.dialling = asyncio.get_running_loop().create_task(self._dial(connection))
+        return connection
+
+    async def _dial(self, connection: Connection) -> None:
+        loop = asyncio.get_running_loop()
+        connection.since = loop.time()
+        try:
+            async with asyncio.timeout(self.pools.dial_timeout):
+                await loop.create_connection(lambda: connection, *self.endpoint)
+        except (OSError, TimeoutError):
+            if connection.transport is None:
+                connection.lost()
+
+    def release(self, connection: Connection) -> None:
+        if self.retired or connection not in self.all:
+            connection.close()
+            return
+        connection.idle_since = asyncio.get_running_loop().time()
+        self.idle.append(connection)
+        self.pools.plan_sweep()
+
+    def drop(self, connection: Connection) -> None:
+        self.all.discard(connection)
+        if connection in self.idle:
+            self.idle.remove(connection)
+
+    def retire(self) -> None:
+        """No attempt is to come: idle connections go now, the others after their answer."""
+        self.retired = True
+        for connection in list(self.idle):
+            connection.close()
+
+    def forget_before(self, time: float) -> None:
+        """The server has started anew at that time: what was open before leads nowhere."""
+        for connection in [one for one in self.all if one.since < time]:
+            exchange = connection.exchange
+            unsent = connection.unsent
+            connection.exchange = None
+            connection.close()
+            if exchange is not None:
+                exchange.done(Ending(Status.CONNECT_FAILED if unsent else Status.RESET))
+
+
+class Pools:
+    """All pools: their number of sockets, and the sweep that closes what has idled too long."""
+
+    def __init__(self, most: int, dial_timeout: float, keepalive: float) -> None:
+        self.most, self.dial_timeout = most, dial_timeout
+        self.idle_most = min(IDLE_MOST, keepalive * IDLE_PART)
+        self.pools: dict[str, Pool] = {}
+        self.leaving: list[Pool] = []  # replaced, with attempts still out
+        self.sweeping = False
+
+    def add(self, name: str, endpoint: Endpoint, make: Callable[[Pool], Connection]) -> Pool:
+        """The pool of a server; one at another endpoint takes the place of the old."""
+        pool = self.pools.get(name)
+        if pool is None or pool.endpoint != endpoint:
+            self.remove(name)
+            pool = self.pools[name] = Pool(self, endpoint, make)
+        pool.retired = False
+        return pool
+
+    def remove(self, name: str) -> None:
+        pool = self.pools.pop(name, None)
+        if pool is not None:
+            pool.retire()
+            self.leaving = [one for one in self.leaving if one.all] + [pool]
+
+    def room(self) -> bool:
+        """Whether one more connection may be opened; the longest idle one makes room for it."""
+        if sum(len(pool.all) for pool in [*self.pools.values(), *self.leaving]) < self.most:
+            return True
+        oldest = min(
+            (pool.idle[0] for pool in self.pools.values() if pool.idle),
+            key=lambda one: one.idle_since,
+            default=None,
+        )
+        if oldest is None:
+            return False
+        oldest.close()
+        return True
+
+    def plan_sweep(self) -> None:
+        if not self.sweeping:
+            self.sweeping = True
+            asyncio.get_running_loop().call_later(SWEEP, self._sweep)
+
+    def _sweep(self) -> None:
+        self.sweeping = False
+        before = asyncio.get_running_loop().time() - self.idle_most
+        for pool in self.pools.values():
+            for connection in [one for one in pool.idle if one.idle_since < before]:
+                connection.close()
+        if any(pool.idle for pool in self.pools.values()):
+            self.plan_sweep()
