--- /dev/null
+++ b/tests/peers.py
@@ -0,0 +1,230 @@
+"""Loopback peers of the router under test: clients, cache servers, an origin and discovery, all scripted."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator, Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import hiredis
+import orjson
+
+from applehub.node.clients import Clients
+from applehub.node.discovery import Directory
+from applehub.node.driver import Driver
+from applehub.node.pool import Pools
+from applehub.settings import read_ceilings, read_names, read_settings
+
+PATIENCE = 20.0  # s; every wait of these tests is on an event, and this long at the most
+Json = dict[str, Any]
+
+
+def info(**ceilings: Any) -> Json:
+    """Settings as a router is told them."""
+    second = 1_000_000_000
+    return {
+        "azs": ["a", "b"],
+        "hostTypes": ["std", "origin"],
+        "balancers": 1,
+        "ceilings": {"attemptsCap": 4, "dialTimeout": 250_000_000, "keepalive": 60 * second, **ceilings},
+        "classes": [
+            {"name": "read", "aim": 5 * second, "deadline": 10 * second, "lateWorth": 0.5},
+            {
+                "name": "put",
+                "aim": 5 * second,
+                "deadline": 10 * second,
+                "effect": "keyed",
+                "group": "all",
+                "repeatWindow": 5 * second,
+                "lateWorth": 0.5,
+            },
+            {"name": "once", "aim": 5 * second, "deadline": 10 * second, "effect": "unsafe"},
+        ],
+        "tenants": [{"name": "acme"}],
+        "registryMode": "pushed",
+        "safety": {"coldFrom": 0.3, "rampTime": 10 * second, "tipMultiple": 3.0},
+        "specifics": {"mode": "aside", "originKind": 1},
+    }
+
+
+async def soon(what: Callable[[], Any]) -> Any:
+    """Waits until something is so."""
+    async with asyncio.timeout(PATIENCE):
+        while not (value := what()):
+            await asyncio.sleep(0.005)
+        return value
+
+
+class Peer:
+    """A listener that keeps what came and answers as its script says; None: with nothing."""
+
+    def __init__(self, answer: Callable[[Any, asyncio.StreamWriter], bytes | None]) -> None:
+        self.answer = answer
+        self.got: list[Any] = []
+        self.lines: list[asyncio.StreamWriter] = []
+        self.ended = 0  # connections that the router closed
+        self.address = ""
+        self.server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.address = "127.0.0.1:{}".format(self.server.sockets[0].getsockname()[1])
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.lines.append(writer)
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            while (asked := await self.read(reader)) is not None:
+                self.got.append(asked)
+                answer = self.answer(asked, writer)
+                if answer is not None:
+                    writer.write(answer)
+        self.ended += 1
+        writer.close()
+
+    async def read(self, reader: asyncio.StreamReader) -> Any:
+        raise NotImplementedError
+
+    async def stop(self) -> None:
+        assert self.server is not None
+        self.server.close()
+        for line in self.lines:
+            line.transport.abort()
+        await self.server.wait_closed()
+
+
+class Cache(Peer):
+    """A cache server; `got` holds the commands as lists of bytes."""
+
+    async def read(self, reader: asyncio.StreamReader) -> Any:
+        count = await reader.readline()
+        if not count:
+            return None
+        parts = []
+        for _ in range(int(count[1:])):
+            size = int((await reader.readline())[1:])
+            parts.append((await reader.readexactly(size + 2))[:-2])
+        return parts
+
+
+class Web(Peer):
+    """An HTTP server; `got` holds method, target, headers and body."""
+
+    async def read(self, reader: asyncio.StreamReader) -> Any:
+        line = await reader.readline()
+        if not line:
+            return None
+        method, target, _ = line.split()
+        headers = {}
+        while (line := (await reader.readline()).strip()) != b"":
+            name, _, value = line.partition(b":")
+            headers[name.strip().lower()] = value.strip()
+        body = await reader.readexactly(int(headers.get(b"content-length", 0)))
+        return method, target, headers, body
+
+
+def http(status: int, body: bytes = b"", extra: bytes = b"") -> bytes:
+    return b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n%b\r\n%b" % (status, len(body), extra, body)
+
+
+def entry(name: str, address: str, **changes: Any) -> Json:
+    fields: Json = {
+        "uid": name,
+        "endpoint": address,
+        "az": "a",
+        "model": "std",
+        "pod_group": 0,
+        "state": "Ready",
+        "capacity_hint": 1.0,
+        "boot_ms": 0,
+    }
+    return {**fields, **changes}
+
+
+class Caller:
+    """A client's connection."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader, self.writer, self.parser = reader, writer, hiredis.Reader()
+
+    def send(self, *parts: bytes) -> None:
+        self.writer.write(hiredis.pack_command(parts))
+
+    def get(self, key: bytes = b"k", name: bytes = b"i1", info: bytes = b"c=read,t=acme,d=9000") -> None:
+        self.send(b"C.GET", key, name, info)
+
+    async def answer(self) -> Any:
+        """The next answer; None once the router has closed."""
+        async with asyncio.timeout(PATIENCE):
+            while True:
+                answer = self.parser.gets()
+                if answer is not False:
+                    return answer
+                data = await self.reader.read(65_536)
+                if not data:
+                    return None
+                self.parser.feed(data)
+
+
+@dataclass
+class Bench:
+    """A router with its peers."""
+
+    cache: Cache
+    origin: Web
+    driver: Driver
+    clients: Clients
+    directory: Directory
+    pools: Pools
+    port: int
+    callers: list[Caller] = field(default_factory=list)
+
+    async def caller(self) -> Caller:
+        caller = Caller(*await asyncio.open_connection("127.0.0.1", self.port))
+        self.callers.append(caller)
+        return caller
+
+
+def hit(value: bytes = b"v") -> bytes:
+    return b"*3\r\n$%d\r\n%b\r\n$3\r\nhit\r\n$-1\r\n" % (len(value), value)
+
+
+MISS = b"*3\r\n$-1\r\n$4\r\nmiss\r\n$-1\r\n"
+
+
+@contextlib.asynccontextmanager
+async def router(
+    cache: Callable[[Any, asyncio.StreamWriter], bytes | None] = lambda asked, line: hit(),
+    origin: Callable[[Any, asyncio.StreamWriter], bytes | None] = lambda asked, line: http(200, b"from origin"),
+    entries: Callable[[Cache, Web], list[Json]] | None = None,
+    sockets: int = 64,
+    **ceilings: Any,
+) -> AsyncIterator[Bench]:
+    """One router with one cache server and one origin, wired as the program does it."""
+    from applehub.logic import Balancer
+
+    peers = Cache(cache), Web(origin)
+    for peer in peers:
+        await peer.start()
+    told = info(**ceilings)
+    settings, limits, names = read_settings(told), read_ceilings(told), read_names(told)
+    pools = Pools(sockets, limits.dial_timeout / 1e9, limits.keepalive / 1e9)
+    driver = Driver(Balancer(settings, 1), pools, limits.most_held)
+    clients = Clients(driver, names, sockets)
+    directory = Directory(names, 1, pools, driver.members)
+    clients.can_serve = lambda: directory.can_serve
+    listed = [entry("c0", peers[0].address), entry("o", peers[1].address, model="origin")]
+    if entries is not None:
+        listed = entries(*peers)
+    directory.take({"rev": 5, "all": True, "targets": listed}, cached=True)
+    _, port = await clients.listen("127.0.0.1", 0)
+    bench = Bench(*peers, driver, clients, directory, pools, port)
+    try:
+        yield bench
+    finally:
+        for caller in bench.callers:
+            caller.writer.transport.abort()
+        clients.close()
+        for peer in peers:
+            await peer.stop()
+
+
