--- a/applehub/__main__.py
+++ b/applehub/__main__.py
@@ -98,9 +98,10 @@
     except ListError as problem:
         log.warning("the known list is of no use: %s", problem)
     try:
-        await clients.listen(*told.listen)
+        host, port = await clients.listen(*told.listen)
     except OSError as problem:
         raise ConfigurationError(f"can't listen on {told.listen[0]}:{told.listen[1]}: {problem}") from None
+    log.info("listening on %s:%d", host, port)
     if not told.settings.must_ask:
         watch.start()
     await stopping.wait()
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -7,12 +7,12 @@
 from typing import Any
 
 import hiredis
-import orjson
 
 from applehub.node.clients import Clients
 from applehub.node.discovery import Directory
 from applehub.node.driver import Driver
 from applehub.node.pool import Pools
+from applehub.node.resp import command
 from applehub.settings import read_ceilings, read_names, read_settings
 
 PATIENCE = 20.0  # s; every wait of these tests is on an event, and this long at the most
@@ -68,7 +68,7 @@
 
     async def start(self) -> None:
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.address = "127.0.0.1:{}".format(self.server.sockets[0].getsockname()[1])
+        self.address = f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.lines.append(writer)
@@ -147,7 +147,7 @@
         self.reader, self.writer, self.parser = reader, writer, hiredis.Reader()
 
     def send(self, *parts: bytes) -> None:
-        self.writer.write(hiredis.pack_command(parts))
+        self.writer.write(command(*parts))
 
     def get(self, key: bytes = b"k", name: bytes = b"i1", info: bytes = b"c=read,t=acme,d=9000") -> None:
         self.send(b"C.GET", key, name, info)
@@ -188,13 +188,16 @@
     return b"*3\r\n$%d\r\n%b\r\n$3\r\nhit\r\n$-1\r\n" % (len(value), value)
 
 
+FETCHED = http(200, b"from origin")
 MISS = b"*3\r\n$-1\r\n$4\r\nmiss\r\n$-1\r\n"
 
 
 @contextlib.asynccontextmanager
 async def router(
     cache: Callable[[Any, asyncio.StreamWriter], bytes | None] = lambda asked, line: hit(),
-    origin: Callable[[Any, asyncio.StreamWriter], bytes | None] = lambda asked, line: http(200, b"from origin"),
+    origin: Callable[[Any, asyncio.StreamWriter], bytes | None] = lambda asked, line: http(
+        200, b"from origin"
+    ),
     entries: Callable[[Cache, Web], list[Json]] | None = None,
     sockets: int = 64,
     **ceilings: Any,
@@ -226,5 +229,3 @@
         clients.close()
         for peer in peers:
             await peer.stop()
-
-
--- /dev/null
+++ b/tests/test_discovery.py
@@ -0,0 +1,260 @@
+"""The watch over loopback sockets, and the program from start to SIGTERM."""
+
+import asyncio
+import json
+import os
+import signal
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+import pytest
+from peers import PATIENCE, Cache, Caller, Web, entry, hit, http, info, router, soon
+
+from applehub import interface as api
+from applehub.node import discovery
+from applehub.node.discovery import Directory, ListError, Watch
+from applehub.node.pool import Pools
+from applehub.settings import read_names
+
+ROOT = Path(__file__).parent.parent
+
+
+def directory() -> tuple[Directory, list[api.Members]]:
+    told: list[api.Members] = []
+    return Directory(read_names(info()), 1, Pools(64, 0.25, 60.0), told.append), told
+
+
+def listing(rev: int, *entries: Any, whole: bool = True) -> dict[str, Any]:
+    return {"rev": rev, "all": whole, "targets": list(entries)}
+
+
+async def test_a_list_is_told_with_names_as_indexes_and_start_times_on_the_clock() -> None:
+    one, told = directory()
+    boot = time.time_ns() // 1_000_000 - 1000
+    entries = (
+        entry("c0", "127.0.0.1:1", az="b", pod_group=3, capacity_hint=1.5, boot_ms=boot),
+        entry("o", "h:2"),
+    )
+    one.take(listing(1, *entries), cached=True)
+    one.take(listing(2, *entries))
+    member = told[0].entries[0]
+    assert (member.server, member.zone, member.cell, member.weight) == ("c0", 1, 3, 1.5)
+    assert abs(time.monotonic_ns() - 1_000_000_000 - member.since) < PATIENCE * 1e9
+    assert told[0].entries[1].since == 0
+    assert [event.kind for event in told] == [api.ListKind.CACHED, api.ListKind.FULL]
+    assert told[1].entries[0].since == member.since  # the same start, not a restart
+
+
+async def test_an_older_version_changes_nothing() -> None:
+    one, told = directory()
+    one.take(listing(5, entry("c0", "127.0.0.1:1")))
+    one.take(listing(4))
+    one.take(listing(5, entry("c0", "127.0.0.1:1", state="Gone"), whole=False))
+    assert len(told) == 1 and one.rev == 5 and one.can_serve
+
+
+async def test_an_entry_that_makes_no_sense_is_skipped_with_a_line(caplog: pytest.LogCaptureFixture) -> None:
+    one, told = directory()
+    odd: list[Any] = [
+        entry("x1", "127.0.0.1:1", model="m99"),
+        entry("x2", "127.0.0.1:1", az="z"),
+        entry("x3", "127.0.0.1:1", state="Dreaming"),
+        entry("x4", "nowhere"),
+        entry("x5", "127.0.0.1:1", boot_ms="then"),
+        {"uid": "x6"},
+        "x7",
+    ]
+    one.take(listing(1, *odd, entry("c0", "127.0.0.1:1")))
+    assert [member.server for member in told[0].entries] == ["c0"]
+    assert caplog.text.count("is skipped") == len(odd)
+    answers: list[Any] = [None, [], {"targets": []}, {"rev": "1", "targets": []}, {"rev": 2}]
+    for bad in answers:
+        with pytest.raises(ListError):
+            one.take(bad)
+
+
+async def test_a_changed_endpoint_or_start_drops_the_old_connections() -> None:
+    async with router(lambda asked, line: hit() if asked[2] != b"hang" else None) as bench:
+        caller = await bench.caller()
+        caller.get()
+        await caller.answer()
+        caller.get(name=b"hang", info=b"c=once,t=acme,d=9000")
+        await soon(lambda: len(bench.cache.got) == 2)
+        boot = time.time_ns() // 1_000_000 + 1
+        change = entry("c0", bench.cache.address, boot_ms=boot)
+        bench.directory.take(listing(6, change, whole=False))
+        # The old process is gone with what it held, which may have run.
+        assert str(await caller.answer()) == "ERR failed"
+        await soon(lambda: bench.cache.ended == 1)
+        second = Cache(lambda asked, line: hit(b"second"))
+        await second.start()
+        pool = bench.pools.pools["c0"]
+        bench.directory.take(listing(7, {**change, "endpoint": second.address}, whole=False))
+        assert bench.pools.pools["c0"] is not pool and pool.retired
+        await second.stop()
+
+
+async def test_nothing_goes_to_a_server_that_drains_and_what_is_out_is_answered() -> None:
+    async with router(lambda asked, line: None if asked[2] == b"i1" else hit()) as bench:
+        caller = await bench.caller()
+        caller.get(name=b"i1")
+        await soon(lambda: bench.cache.got)
+        gone = entry("c0", bench.cache.address, state="Terminating")
+        bench.directory.take(listing(6, gone, whole=False))
+        other = await bench.caller()
+        other.get(name=b"i2")
+        assert str(await other.answer()).startswith("BUSY")
+        bench.cache.lines[0].write(hit(b"late"))
+        assert await caller.answer() == b"late"
+        await soon(lambda: bench.cache.ended == 1)
+        assert len(bench.cache.got) == 1 and not bench.directory.can_serve
+        other.send(b"PING")
+        assert str(await other.answer()).startswith("LOADING")
+
+
+def whole_list(rev: int, *entries: Any, whole: bool = True) -> bytes:
+    return http(200, json.dumps(listing(rev, *entries, whole=whole)).encode())
+
+
+async def test_the_watch_goes_on_and_after_a_failure_asks_for_the_whole_list(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(discovery, "HOLD", 0.1)
+    monkeypatch.setattr(discovery, "PATIENCE", 0.3)
+    c0, c1 = entry("c0", "127.0.0.1:1"), entry("c1", "127.0.0.1:1")
+    script: list[bytes | None] = [
+        whole_list(7, c0),
+        whole_list(8, c1, whole=False),
+        http(503),  # down
+        whole_list(9, c0, c1),
+        None,  # silent
+        b"garbage\r\n\r\n",
+        http(200, b"{not JSON"),
+        whole_list(10, c0),
+    ]
+    web = Web(lambda asked, line: script.pop(0) if script else None)
+    await web.start()
+    one, told = directory()
+    host, _, port = web.address.partition(":")
+    watch = Watch((host, int(port)), one, 1, must_ask=False)
+    watch.start()
+    await soon(lambda: one.rev == 10 and len(web.got) > 8)
+    targets = [asked[1] for asked in web.got[:9]]
+    full, after = b"/api/targets", b"/api/targets?from=%d&hold_ms=100"
+    assert targets == [full, after % 7, after % 8, full, after % 9, full, full, full, after % 10]
+    assert [event.kind for event in told] == [
+        api.ListKind.FULL,
+        api.ListKind.DELTA,
+        api.ListKind.FULL,
+        api.ListKind.FULL,
+    ]
+    watch.stop()
+    await web.stop()
+
+
+async def test_where_lists_are_asked_for_a_failure_is_told_to_the_decisions() -> None:
+    web = Web(lambda asked, line: http(503))
+    await web.start()
+    one, told = directory()
+    host, _, port = web.address.partition(":")
+    watch = Watch((host, int(port)), one, 1, must_ask=True)
+    watch.start()
+    await soon(lambda: told)
+    assert told[0].kind is api.ListKind.FAILED and len(web.got) == 1
+    await soon(lambda: watch.task is not None and watch.task.done())
+    watch.start()
+    await soon(lambda: len(told) == 2)
+    watch.stop()
+    await web.stop()
+
+
+def configuration(tmp_path: Path, **changes: Any) -> dict[str, str]:
+    told = {
+        "listen": "127.0.0.1:0",
+        "discovery": "127.0.0.1:1",
+        "seed": "8c1f30d27a5be964",
+        "settings": info(),
+    }
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps({**told, **changes}))
+    return {**os.environ, "BALANCER_CONFIG": str(path)}
+
+
+async def program(env: dict[str, str]) -> asyncio.subprocess.Process:
+    return await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "applehub", env=env, cwd=ROOT, stderr=asyncio.subprocess.PIPE
+    )
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"listen": "nowhere"},
+        {"discovery": None},
+        {"seed": "xyz"},
+        {"settings": None},
+        {"settings": {"classes": []}},
+        {"limits": {"sockets": "many"}},
+        {"listen": "127.0.0.1:99999"},
+    ],
+)
+async def test_a_bad_configuration_ends_with_one_plain_line(tmp_path: Path, changes: Any) -> None:
+    running = await program(configuration(tmp_path, **changes))
+    _, lines = await asyncio.wait_for(running.communicate(), PATIENCE)
+    assert running.returncode == 2
+    assert lines.startswith(b"applehub: ") and lines.count(b"\n") == 1
+
+
+async def test_a_port_in_use_ends_with_one_plain_line(tmp_path: Path) -> None:
+    taken = Web(lambda asked, line: None)
+    await taken.start()
+    running = await program(configuration(tmp_path, listen=taken.address))
+    _, lines = await asyncio.wait_for(running.communicate(), PATIENCE)
+    assert running.returncode == 2
+    assert lines.startswith(b"applehub: can't listen") and lines.count(b"\n") == 1
+    await taken.stop()
+
+
+async def test_no_configuration_ends_with_one_plain_line(tmp_path: Path) -> None:
+    for env in ({"BALANCER_CONFIG": ""}, {"BALANCER_CONFIG": str(tmp_path / "none")}):
+        running = await program({**os.environ, **env})
+        _, lines = await asyncio.wait_for(running.communicate(), PATIENCE)
+        assert running.returncode == 2
+        assert lines.startswith(b"applehub: ") and lines.count(b"\n") == 1
+
+
+async def test_the_program_serves_and_on_sigterm_answers_what_it_holds(tmp_path: Path) -> None:
+    cache = Cache(lambda asked, line: None if asked[2] == b"slow" else hit())
+    await cache.start()
+    known = listing(3, entry("c0", cache.address))
+    running = await program(configuration(tmp_path, known=known))
+    assert running.stderr is not None
+    address = None
+    async with asyncio.timeout(PATIENCE):
+        while address is None:
+            line = await running.stderr.readline()
+            assert line
+            if b"listening on " in line:
+                address = line.decode().rsplit(" ", 1)[1].strip().rsplit(":", 1)
+    drain = asyncio.create_task(running.stderr.read())
+    caller = Caller(*await asyncio.open_connection(address[0], int(address[1])))
+    slow = Caller(*await asyncio.open_connection(address[0], int(address[1])))
+    caller.send(b"PING")
+    assert await caller.answer() == b"PONG"
+    slow.get(name=b"slow")
+    await soon(lambda: cache.got)
+    begun = time.monotonic()
+    running.send_signal(signal.SIGTERM)
+    late = Caller(*await asyncio.open_connection(address[0], int(address[1])))
+    late.get(name=b"late")
+    assert await late.answer() == b"v"
+    caller.get(name=b"i1")
+    assert await caller.answer() == b"v"
+    assert str(await slow.answer()) == "ERR failed"
+    assert [await one.answer() for one in (caller, slow, late)] == [None] * 3
+    assert await asyncio.wait_for(running.wait(), PATIENCE) == 0
+    assert time.monotonic() - begun >= 0.5
+    await drain
+    await cache.stop()
--- /dev/null
+++ b/tests/test_router.py
@@ -0,0 +1,367 @@
+"""The router over loopback sockets, with scripted peers: requests, attempts and answers."""
+
+import asyncio
+import time
+from typing import Any
+
+import hiredis
+import pytest
+from peers import MISS, Cache, Web, entry, hit, http, router, soon
+
+from applehub import interface as api
+from applehub.node import resp
+
+INFO = b"c=read,t=acme,d=9000"
+
+
+def once(wait: int = 9000) -> bytes:
+    return b"c=once,t=acme,d=%d" % wait
+
+
+async def test_a_hit_goes_on_as_it_came_and_the_command_but_for_the_time() -> None:
+    async with router(lambda asked, line: hit(b"a\r\n\0b")) as bench:
+        caller = await bench.caller()
+        caller.send(b"PING")
+        caller.get(b"key\xff", b"i1", b"c=read,t=acme,d=9000,size=7")
+        assert await caller.answer() == b"PONG"
+        assert await caller.answer() == b"a\r\n\0b"
+        name, key, identity, info = bench.cache.got[0]
+        assert (name, key, identity) == (b"C.GET", b"key\xff", b"i1")
+        fields = dict(one.split(b"=") for one in info.split(b","))
+        assert 8000 < int(fields.pop(b"d")) <= 9000
+        assert fields == {b"c": b"read", b"t": b"acme", b"size": b"7"}
+
+
+async def test_a_miss_is_fetched_from_the_origin() -> None:
+    async with router(lambda asked, line: MISS) as bench:
+        caller = await bench.caller()
+        caller.get(b"a/b")
+        assert await caller.answer() == b"from origin"
+        method, target, headers, body = bench.origin.got[0]
+        assert (method, target, body) == (b"GET", b"/a%2Fb", b"")
+        assert (headers[b"x-call-id"], headers[b"x-call-info"]) == (b"i1", INFO)
+
+
+async def test_a_write_goes_to_the_origin_alone() -> None:
+    async with router() as bench:
+        caller = await bench.caller()
+        caller.send(b"C.SET", b"k", b"w1", b"c=put,t=acme,d=9000,k=77", b"value")
+        assert await caller.answer() == b"from origin"
+        assert bench.origin.got[0][0] == b"PUT" and bench.origin.got[0][3] == b"value"
+        assert not bench.cache.got
+
+
+async def test_answers_keep_the_order_of_their_commands() -> None:
+    slow: list[asyncio.StreamWriter] = []
+
+    def answer(asked: list[bytes], line: asyncio.StreamWriter) -> bytes | None:
+        if asked[2] == b"i1":
+            slow.append(line)
+            return None
+        return hit(asked[2])
+
+    async with router(answer) as bench:
+        caller = await bench.caller()
+        caller.get(name=b"i1")
+        caller.get(name=b"i2")
+        caller.send(b"PING")
+        await soon(lambda: len(bench.cache.got) == 2 and not bench.driver.held.keys() - {"i1"})
+        slow[0].write(hit(b"i1"))
+        assert [await caller.answer() for _ in range(3)] == [b"i1", b"i2", b"PONG"]
+
+
+async def test_one_connection_serves_one_attempt_after_another() -> None:
+    async with router() as bench:
+        caller = await bench.caller()
+        for n in range(20):
+            caller.get(name=b"i%d" % n)
+            assert await caller.answer() == b"v"
+        assert len(bench.cache.lines) == 1
+
+
+async def test_an_attempt_given_up_is_closed_and_fails_before_the_client_leaves() -> None:
+    async with router(lambda asked, line: None) as bench:
+        caller = await bench.caller()
+        begun = time.monotonic()
+        caller.get(info=b"c=once,t=acme,d=300")
+        answer = await caller.answer()
+        assert isinstance(answer, hiredis.ReplyError) and str(answer) == "ERR failed"
+        assert time.monotonic() - begun >= 0.2
+        await soon(lambda: bench.cache.ended == 1)
+        assert len(bench.cache.got) == 1 and not bench.driver.held
+
+
+@pytest.mark.parametrize("info", [once(), INFO])
+async def test_a_refused_connection_proves_that_nothing_ran(info: bytes) -> None:
+    def nowhere(cache: Cache, origin: Web) -> list[dict[str, Any]]:
+        return [entry("c0", "127.0.0.1:1"), entry("o", origin.address, model="origin")]
+
+    async with router(entries=nowhere) as bench:
+        caller = await bench.caller()
+        caller.get(info=info)
+        assert str(await caller.answer()).startswith("BUSY")
+
+
+async def test_a_break_after_the_last_byte_may_have_run() -> None:
+    def cut(asked: Any, line: asyncio.StreamWriter) -> None:
+        line.transport.abort()
+
+    async with router(cut) as bench:
+        caller = await bench.caller()
+        caller.get(info=once())
+        assert str(await caller.answer()) == "ERR failed"
+        assert len(bench.cache.got) == 1
+
+
+async def test_a_break_before_the_last_byte_proves_that_nothing_ran() -> None:
+    """The value is more than the sockets hold, and the origin reads none of it before it breaks."""
+
+    async def deaf(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        writer.transport.pause_reading()  # type: ignore[attr-defined]
+        await asyncio.sleep(0.1)
+        writer.transport.abort()
+
+    statuses: list[api.Status] = []
+    async with router() as bench:
+        pool = bench.pools.pools["o"]
+        from applehub.node.call import Call, Exchange
+
+        server = await asyncio.start_server(deaf, "127.0.0.1", 0, limit=1024)
+        pool.endpoint = server.sockets[0].getsockname()[:2]
+        call = Call(b"C.SET", b"k", b"i", b"c=put", bytes(32 << 20), 1, 0, 9000, False)
+        pool.start(Exchange(call, 9000, lambda ending: statuses.append(ending.status)))
+        await soon(lambda: statuses)
+        assert statuses == [api.Status.CONNECT_FAILED]
+        server.close()
+
+
+@pytest.mark.parametrize(
+    "reply", [b"nonsense\r\n", b"$99999999999\r\n", b"*1048577\r\n", b"+OK\r\n", b"*1\r\n$1\r\nab\r\n"]
+)
+async def test_an_answer_that_cannot_be_read_is_a_reset_and_ends_the_connection(reply: bytes) -> None:
+    async with router(lambda asked, line: reply) as bench:
+        caller = await bench.caller()
+        caller.get(info=once())
+        assert str(await caller.answer()) == "ERR failed"
+        await soon(lambda: bench.cache.ended == 1)
+
+
+async def test_what_comes_behind_an_answer_ends_the_connection() -> None:
+    async with router(lambda asked, line: hit() + hit(b"again")) as bench:
+        caller = await bench.caller()
+        for n in range(2):
+            caller.get(name=b"i%d" % n)
+            assert await caller.answer() == b"v"
+        await soon(lambda: bench.cache.ended == 2)
+
+
+@pytest.mark.parametrize(
+    ("reply", "answer"),
+    [
+        (http(503, b"", b"X-Rejected: 1\r\n"), "BUSY"),
+        (http(503), "ERR failed"),
+        (http(500), "ERR failed"),
+        (b"garbage\r\n\r\n", "ERR failed"),
+    ],
+)
+async def test_only_the_origin_itself_can_say_that_a_call_never_ran(reply: bytes, answer: str) -> None:
+    async with router(origin=lambda asked, line: reply) as bench:
+        caller = await bench.caller()
+        caller.send(b"C.SET", b"k", b"w1", once(900), b"value")
+        assert str(await caller.answer()) == answer
+        await soon(lambda: not bench.driver.held)
+
+
+async def test_a_client_that_leaves_is_withdrawn_and_its_attempt_runs_on() -> None:
+    async with router(lambda asked, line: None if asked[2] == b"i1" else hit()) as bench:
+        caller = await bench.caller()
+        caller.get(name=b"i1")
+        await soon(lambda: bench.cache.got)
+        caller.writer.close()
+        await soon(lambda: not bench.driver.held["i1"].open)
+        bench.cache.lines[0].write(hit())
+        await soon(lambda: not bench.driver.held)
+        other = await bench.caller()
+        other.get(name=b"i2")
+        assert await other.answer() == b"v"
+        assert len(bench.cache.lines) == 1 and "i1" not in bench.driver.balancer.jobs
+
+
+@pytest.mark.parametrize(
+    "parts",
+    [
+        (b"C.GET", b"k", b"i1"),
+        (b"C.GET", b"k", b"i1", b"c=nothing,d=9000"),
+        (b"C.GET", b"k", b"i1", b"c=read,d=soon"),
+        (b"C.GET", b"k", b"i1", b"c=read,t=nobody,d=9000"),
+        (b"C.GET", b"k", b"i\r\nX-Evil: 1", INFO),
+        (b"C.GET", b"k", b"i1", INFO + b"\r\nX-Evil: 1"),
+        (b"C.SET", b"k", b"i1", INFO),
+        (b"FLUSHALL",),
+    ],
+)
+async def test_a_command_that_makes_no_sense_gets_an_error_and_the_next_is_served(parts: Any) -> None:
+    async with router() as bench:
+        caller = await bench.caller()
+        caller.send(*parts)
+        caller.get()
+        assert str(await caller.answer()).startswith("ERR ")
+        assert await caller.answer() == b"v"
+
+
+@pytest.mark.parametrize(
+    "sent",
+    [
+        b"GET / HTTP/1.1\r\n\r\n",
+        b"*1048577000\r\n",
+        b"*-2\r\n",
+        b"*4\r\n$5\r\nC.GET\r\n$65537\r\n",
+        b"*4\r\n$-7\r\n",
+        b"*1\r\n$4\r\nPINGPONG\r\n",
+        b"*1\r\n:4\r\n",
+        b"$" + b"1" * 5000,
+    ],
+)
+async def test_where_framing_is_lost_an_error_and_a_close_follow(sent: bytes) -> None:
+    async with router() as bench:
+        caller = await bench.caller()
+        caller.get()
+        caller.writer.write(sent)
+        assert await caller.answer() == b"v"
+        assert str(await caller.answer()).startswith("ERR Protocol error")
+        assert await caller.answer() is None
+
+
+async def test_an_id_in_use_is_not_taken_twice() -> None:
+    async with router(lambda asked, line: None if len(bench.cache.got) < 2 else hit()) as bench:
+        caller = await bench.caller()
+        caller.get(name=b"i1")
+        await soon(lambda: bench.cache.got)
+        other = await bench.caller()
+        other.get(name=b"i1")
+        assert str(await other.answer()) == "ERR this id is in use"
+        bench.cache.lines[0].write(hit())
+        assert await caller.answer() == b"v"
+
+
+async def test_more_than_may_be_held_is_refused() -> None:
+    async with router(lambda asked, line: None, mostHeld=2) as bench:
+        caller = await bench.caller()
+        for n in range(2):
+            caller.get(name=b"i%d" % n)
+        await soon(lambda: len(bench.driver.held) == 2)
+        other = await bench.caller()
+        other.get(name=b"i3")
+        assert str(await other.answer()) == "BUSY"
+
+
+async def test_a_reader_that_takes_nothing_is_cut_off(monkeypatch: pytest.MonkeyPatch) -> None:
+    from applehub.node import clients
+
+    monkeypatch.setattr(clients, "STUCK", 0.2)
+    async with router(lambda asked, line: hit(bytes(resp.MOST_VALUE))) as bench:
+        caller = await bench.caller()
+        caller.writer.transport.pause_reading()  # type: ignore[attr-defined]
+        for n in range(400):
+            caller.get(name=b"i%d" % n)
+        await soon(lambda: bench.clients.open)
+        await soon(lambda: not bench.clients.open)
+        await soon(lambda: not bench.driver.held)
+        assert bench.clients.buffered == 0
+
+
+async def test_a_fault_in_a_decision_fails_that_request_and_no_other(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    async with router() as bench:
+        handle = bench.driver.balancer.handle
+
+        def faulty(now: int, event: api.Event) -> list[api.Action]:
+            if isinstance(event, api.Request) and event.id == "bad":
+                raise ZeroDivisionError("a fault")
+            return handle(now, event)
+
+        bench.driver.balancer.handle = faulty  # type: ignore[method-assign]
+        caller = await bench.caller()
+        caller.get(name=b"bad")
+        caller.get(name=b"good")
+        assert str(await caller.answer()) == "ERR failed"
+        assert await caller.answer() == b"v"
+        assert "ZeroDivisionError" in caplog.text and not bench.driver.held
+
+
+async def test_a_request_that_the_decisions_lose_fails_in_time() -> None:
+    async with router() as bench:
+        bench.driver.balancer.handle = lambda now, event: []  # type: ignore[method-assign]
+        caller = await bench.caller()
+        caller.get(info=b"c=read,t=acme,d=200")
+        assert str(await caller.answer()) == "ERR failed"
+        assert not bench.driver.held
+
+
+async def test_a_close_by_the_server_is_noticed_at_once() -> None:
+    async with router() as bench:
+        caller = await bench.caller()
+        caller.get(name=b"i1")
+        assert await caller.answer() == b"v"
+        bench.cache.lines[0].close()
+        await soon(lambda: not bench.pools.pools["c0"].all)
+        caller.get(name=b"i2", info=once())
+        assert await caller.answer() == b"v"
+
+
+async def test_an_idle_connection_is_closed_well_before_the_server_does(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    from applehub.node import pool
+
+    monkeypatch.setattr(pool, "SWEEP", 0.05)
+    async with router(keepalive=200_000_000) as bench:
+        caller = await bench.caller()
+        caller.get()
+        assert await caller.answer() == b"v"
+        await soon(lambda: bench.cache.ended == 1)
+        assert bench.pools.idle_most < 0.2
+
+
+async def test_the_longest_idle_connection_makes_room_for_another() -> None:
+    async with router(lambda asked, line: MISS, sockets=1) as bench:
+        caller = await bench.caller()
+        caller.get()
+        assert await caller.answer() == b"from origin"
+        await soon(lambda: bench.cache.ended == 1)
+        assert sum(len(pool.all) for pool in bench.pools.pools.values()) == 1
+
+
+async def test_two_attempts_of_a_request_are_never_out_at_once() -> None:
+    """The second one's bytes come only after the end of the first one's connection."""
+    order: list[str] = []
+
+    class Ordered(Cache):
+        async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await super()._serve(reader, writer)
+            order.append("ended")
+
+    def answer(asked: list[bytes], line: asyncio.StreamWriter) -> bytes | None:
+        order.append("asked")
+        return hit() if len(order) > 2 else None
+
+    cache = Ordered(answer)
+    await cache.start()
+    two = [entry("c0", cache.address), entry("c1", cache.address)]
+    async with router(entries=lambda _, origin: two) as bench:
+        handle = bench.driver.balancer.handle
+
+        def impatient(now: int, event: api.Event) -> list[api.Action]:
+            actions = handle(now, event)
+            for action in actions:
+                if isinstance(action, api.Send) and len(order) == 0:
+                    action.timeout = 200_000_000
+            return actions
+
+        bench.driver.balancer.handle = impatient  # type: ignore[method-assign]
+        caller = await bench.caller()
+        caller.get()
+        assert await caller.answer() == b"v"
+        assert order[:3] == ["asked", "ended", "asked"]
+    await cache.stop()
