Bound whole commands, linger after a last error, and fail what the module lost before the client leaves

Seen by tests over loopback, each failing before its change: - resp.py measured each part of a command but not the whole: arrays in arrays without end were buffered and never answered. A command is now 320 KiB at the most. - clients.py closed with bytes unread after a protocol error; the reset overtook the -ERR line (ConnectionResetError at the client).

--- a/applehub/node/clients.py
+++ b/applehub/node/clients.py
@@ -15,6 +15,7 @@
 MOST_PIPELINED = 32  # commands of one connection in work; those behind wait unread
 MOST_BUFFERED = 32 << 20  # bytes of all connections that clients have not finished sending or reading
 STUCK = 10.0  # s for which a client may leave answers unread
+LINGER = 1.0  # s for which a client that has its last answer may go on sending
 log = logging.getLogger("applehub")
 
 
@@ -44,7 +45,7 @@
         self.slots: deque[Slot] = deque()
         self.transport: asyncio.Transport | None = None
         self.last = False  # nothing more is read; closed once all is answered
-        self.advancing = self.blocked = False
+        self.advancing = self.blocked = self.lingering = False
         self.buffered = 0
         self.stuck: asyncio.TimerHandle | None = None
 
@@ -90,7 +91,7 @@
     def advance(self) -> None:
         """Takes up commands and writes answers, in turn, as far as both go. Guards against recursion: an
         answer that is ready at once, or comes while this runs, is written by this loop."""
-        if self.advancing or self.transport is None:
+        if self.advancing or self.lingering or self.transport is None:
             return
         self.advancing = True
         try:
@@ -99,11 +100,24 @@
                 self._take_up()
         finally:
             self.advancing = False
-        if not self.slots and (self.last or self.server.closing):
+        if not self.slots and self.last:
+            self._linger()
+        elif not self.slots and self.server.closing:
             self.transport.close()
         else:
             self._steer()
 
+    def _linger(self) -> None:
+        """Ends the sending and reads on for a while. Guards the last answer: a close with bytes unread is a
+        reset, which can reach a client that is still sending before the answer does."""
+        assert self.transport is not None
+        self.lingering = True
+        self.frames.buffer.clear()
+        self._steer()
+        if self.transport.can_write_eof() and not self.transport.is_closing():
+            self.transport.write_eof()
+        asyncio.get_running_loop().call_later(LINGER, self._abort)
+
     def _take_up(self) -> None:
         """Takes up the commands that have come, as many as may be in work at once."""
         try:
@@ -166,7 +180,7 @@
         """Reads on or stops reading. Guards memory against clients that send much or read nothing."""
         if self.transport is None or self.transport.is_closing():
             return
-        if self.blocked or self.last or len(self.slots) >= MOST_PIPELINED:
+        if self.blocked or (self.last and not self.lingering) or len(self.slots) >= MOST_PIPELINED:
             self.transport.pause_reading()
         else:
             self.transport.resume_reading()
--- a/applehub/node/driver.py
+++ b/applehub/node/driver.py
@@ -74,7 +74,7 @@
         until = min(until, self.stop_at or until)
         held = self.held[name] = Held(name, call, reply, until - WAY_BACK)
         self.held_bytes += call.size
-        held.guard = self.loop.call_at(until / SECOND, self._overdue, held)
+        held.guard = self.loop.call_at((until - WAY_BACK // 2) / SECOND, self._overdue, held)
         key = call.key.decode("latin-1")
         write = call.value is not None
         self._tell(api.Request(name, call.cls, held.deadline, key, write, call.tenant, call.repeat))
--- a/applehub/node/resp.py
+++ b/applehub/node/resp.py
@@ -7,6 +7,7 @@
 MOST_VALUE = 64 * 1024  # bytes of a key, an id, a list or a value
 MOST_LINE = 1024
 MOST_ITEMS = 8
+MOST_FRAME = 5 * MOST_VALUE  # a write has four large parts at the most
 WAITING = object()  # no whole value has come yet
 FAILED = b"-ERR failed\r\n"
 
@@ -58,6 +59,9 @@
         while self.missing:
             if not self._measure():
                 return WAITING
+            # Guards against arrays in arrays without end: each part is small, and the whole never comes.
+            if self.at > MOST_FRAME or self.missing > MOST_ITEMS:
+                raise FramingError("too large")
         self.reader.feed(bytes(self.buffer[: self.at]))
         del self.buffer[: self.at]
         self.at, self.missing = 0, 1
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -12,7 +12,7 @@
 from applehub import interface as api
 from applehub.node import resp
 from applehub.node.call import Call, Exchange
-from applehub.node.driver import Held
+from applehub.node.driver import WAY_BACK, Held
 
 INFO = b"c=read,t=acme,d=9000"
 
@@ -221,6 +221,7 @@
         b"*1\r\n$4\r\nPINGPONG\r\n",
         b"*1\r\n:4\r\n",
         b"$" + b"1" * 5000,
+        b"*2\r\n$1\r\na\r\n" * 100_000,
     ],
 )
 async def test_where_framing_is_lost_an_error_and_a_close_follow(sent: bytes) -> None:
@@ -295,8 +296,13 @@
     async with router() as bench:
         bench.driver.balancer.handle = lambda now, event: []  # type: ignore[method-assign]
         caller = await bench.caller()
-        caller.get(info=b"c=read,t=acme,d=200")
-        assert str(await caller.answer()) == "ERR failed"
+        caller.get(info=b"c=read,t=acme,d=9000")
+        (held,) = await soon(lambda: list(bench.driver.held.values()))
+        # The guard comes after the decisions' deadline and before the client's.
+        assert held.guard.when() * 1e9 - held.deadline < WAY_BACK
+        caller.get(name=b"i2", info=b"c=read,t=acme,d=200")
+        bench.driver._overdue(held)
+        assert [str(await caller.answer()) for _ in range(2)] == ["ERR failed"] * 2
         assert not bench.driver.held
 
 
