--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -449,3 +449,32 @@
             assert not kept()
         finally:
             gc.enable()
+
+
+async def test_a_client_too_many_is_told_so_and_its_place_is_free_again_later() -> None:
+    async with router(sockets=2) as bench:
+        for _ in range(2):
+            caller = await bench.caller()
+            caller.send(b"PING")
+            assert await caller.answer() == b"PONG"
+        third = await bench.caller()
+        assert str(await third.answer()) == "ERR max number of clients reached"
+        assert await third.answer() is None
+        caller.writer.close()
+        await soon(lambda: len(bench.clients.open) == 1)
+        fourth = await bench.caller()
+        fourth.send(b"PING")
+        assert await fourth.answer() == b"PONG"
+
+
+async def test_no_room_for_a_connection_means_that_nothing_ran() -> None:
+    async with router(lambda asked, line: None, sockets=1) as bench:
+        caller = await bench.caller()
+        caller.get(name=b"i1")
+        await soon(lambda: bench.cache.got)
+        caller.get(name=b"i2", info=once())
+        await soon(lambda: len(bench.driver.held) == 1)
+        bench.cache.lines[0].write(hit())
+        assert await caller.answer() == b"v"
+        assert str(await caller.answer()) == "BUSY"
+        assert len(bench.cache.got) == 1
