Take up a new configuration on SIGHUP instead of ending on it

Checked: no handler in __main__.serve, so the system's default applied; discovery.Watch could not move. Ruled out: the drain rule and restarts, which hold once the program lives.

--- a/applehub/__main__.py
+++ b/applehub/__main__.py
@@ -1,4 +1,4 @@
-"""The real router: reads its configuration, wires the parts together, and ends well on SIGTERM."""
+"""The real router: reads its configuration, wires the parts together, and heeds SIGHUP and SIGTERM."""
 
 import asyncio
 import gc
@@ -81,7 +81,19 @@
         raise ConfigurationError(f"{path}: {problem}") from None
 
 
-async def serve(told: Configuration) -> None:
+def reread(path: str | None, watch: Watch) -> None:
+    """Takes up a new configuration: the watch moves to its discovery, all else runs on as it is. Guards
+    against a file that is bad or half written: the router keeps to what it has."""
+    try:
+        endpoint = read_configuration(path).discovery
+    except ConfigurationError as problem:
+        log.warning("the new configuration is of no use: %s", problem)
+        return
+    log.info("configuration read anew, discovery at %s:%d", *endpoint)
+    watch.move(endpoint)
+
+
+async def serve(told: Configuration, path: str | None) -> None:
     """Runs the router until it is told to stop and holds nothing more."""
     stopping, loop = asyncio.Event(), asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, stopping.set)
@@ -92,6 +104,8 @@
     directory = Directory(told.names, origin_kind, pools, driver.members)
     watch = Watch(told.discovery, directory, told.seed, told.settings.must_ask)
     driver.watch = watch.start
+    loop.add_signal_handler(signal.SIGHUP, reread, path, watch)
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
     clients.can_serve = lambda: directory.can_serve
     try:
         directory.take(told.known, cached=True)
@@ -116,10 +130,13 @@
 
 def main() -> int:
     logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s")
+    # Guards against a SIGHUP that comes before its handler: it waits, and its file is read after all.
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
+    path = os.environ.get("BALANCER_CONFIG")
     try:
-        told = read_configuration(os.environ.get("BALANCER_CONFIG"))
+        told = read_configuration(path)
         gc.freeze()
-        asyncio.run(serve(told))
+        asyncio.run(serve(told, path))
     except ConfigurationError as problem:
         print(f"applehub: {problem}", file=sys.stderr)
         return 2
--- a/applehub/node/discovery.py
+++ b/applehub/node/discovery.py
@@ -53,6 +53,7 @@
     ) -> None:
         self.names, self.origin_kind, self.pools, self.tell = names, origin_kind, pools, tell
         self.rev = -1
+        self.moved = False  # the next list comes from another address, whose versions need not compare
         self.targets: dict[str, Target] = {}
         self.origin_of_time = time.time_ns() - time.monotonic_ns()  # once, so that a start keeps its time
 
@@ -70,9 +71,9 @@
         rev, whole = answer.get("rev"), answer.get("all") is True or cached
         if type(rev) is not int:
             raise ListError(f"no version: {rev!r}")
-        if rev < self.rev or (rev == self.rev and not whole):
+        if not (self.moved and whole) and (rev < self.rev or (rev == self.rev and not whole)):
             return rev == self.rev
-        self.rev = rev
+        self.rev, self.moved = rev, False
         entries = [target for one in answer["targets"] if (target := self._read(one)) is not None]
         if whole:
             named = {target.member.server for target in entries}
@@ -185,13 +186,29 @@
         self.random = random.Random(seed)
         self.line: _Line | None = None
         self.task: asyncio.Task[None] | None = None
+        self.stopped = False
 
     def start(self) -> None:
         """Begins to watch; while a watch is on, it goes on."""
         if self.task is None or self.task.done():
             self.task = asyncio.get_running_loop().create_task(self._run())
 
+    def move(self, endpoint: Endpoint) -> None:
+        """Goes on at another address, from a whole list: what is known serves until that has come."""
+        if endpoint == self.endpoint or self.stopped:
+            return
+        running = self.task is not None and not self.task.done()
+        self._end()
+        self.endpoint, self.line, self.directory.moved = endpoint, None, True
+        if running or self.must_ask:
+            self.task = None
+            self.start()
+
     def stop(self) -> None:
+        self.stopped = True
+        self._end()
+
+    def _end(self) -> None:
         if self.task is not None:
             self.task.cancel()
         if self.line is not None:
