--- a/applehub/__main__.py
+++ b/applehub/__main__.py
@@ -29,6 +29,7 @@
 STILL_ACCEPTING = 0.5  # s after SIGTERM in which clients are still sent here
 ALL_ANSWERED = 2.2  # s after SIGTERM by which all has its answer
 GONE_BY = 2.4  # s after SIGTERM at which the router ends, whatever a slow reader has not read
+PROGRAM = 24 << 20  # bytes that the router takes with next to nothing to do
 log = logging.getLogger("applehub")
 
 
@@ -44,6 +45,7 @@
     discovery: Endpoint
     seed: int
     sockets: int
+    memory: int  # bytes
     known: Json
     settings: Settings
     names: Names
@@ -65,11 +67,15 @@
         sockets = limits.get("sockets", 1024) if isinstance(limits, dict) else 1024
         if type(sockets) is not int or sockets < 64:
             raise ConfigurationError(f"{path}: limits.sockets makes no sense: {sockets!r}")
+        memory = limits.get("memory_mb", 192) if isinstance(limits, dict) else 192
+        if type(memory) not in (int, float) or not 16 <= memory < 1 << 20:
+            raise ConfigurationError(f"{path}: limits.memory_mb makes no sense: {memory!r}")
         return Configuration(
             read_endpoint(told.get("listen")),
             read_endpoint(told.get("discovery")),
             int(str(told.get("seed") or "0"), 16),
             sockets,
+            int(memory * (1 << 20)),
             told.get("known") or {"rev": 0, "targets": []},
             read_settings(info),
             read_names(info),
@@ -98,8 +104,11 @@
     stopping, loop = asyncio.Event(), asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, stopping.set)
     pools = Pools(told.sockets * 3 // 8, told.ceilings.dial_timeout / 1e9, told.ceilings.keepalive / 1e9)
-    driver = Driver(Balancer(told.settings, told.seed), pools, told.ceilings.most_held)
-    clients = Clients(driver, told.names, told.sockets // 2)
+    # What is left beside the program itself: a quarter for what clients sent, one for what they have not
+    # yet sent or read, and half for what servers are sending and what the memory's bookkeeping wastes.
+    quarter = max(1 << 20, (told.memory - PROGRAM) // 4)
+    driver = Driver(Balancer(told.settings, told.seed), pools, told.ceilings.most_held, quarter)
+    clients = Clients(driver, told.names, told.sockets // 2, quarter)
     origin_kind = told.settings.origin_kind if told.settings.aside else -1
     directory = Directory(told.names, origin_kind, pools, driver.members)
     watch = Watch(told.discovery, directory, told.seed, told.settings.must_ask)
--- a/applehub/node/caches.py
+++ b/applehub/node/caches.py
@@ -1,9 +1,8 @@
 """Connections to cache servers: RESP2, one command out at a time, since answers come in order."""
 
+import re
 import time
 
-import hiredis
-
 from applehub.interface import Status
 from applehub.node import resp
 from applehub.node.call import Ending, Exchange
@@ -12,17 +11,25 @@
 NOTES = {b"hit": 1, b"miss": 2, b"pending": 3}
 
 
+# The error lines that an answer can be, each with a load report or nothing behind it. One that can't be read
+# spoils nothing but itself, as long as it is text in one piece.
+TURNED_AWAY, FAILED = (re.compile(word + rb"(?: [!-~]+)?") for word in (rb"BUSY", rb"ERR failed"))
+
+
 def ending_of(answer: object) -> Ending | None:
-    """What a cache server's answer says; none for one that no command of ours can have."""
-    if isinstance(answer, hiredis.ReplyError):
-        return Ending(Status.FULL if str(answer).split(" ")[0] == "BUSY" else Status.ERROR)
-    if not isinstance(answer, list) or not answer:
+    """What a cache server's answer says; none for one that no command of ours can have. Guards against
+    noise: only the exact words prove that a request never ran."""
+    if isinstance(answer, bytes):
+        if TURNED_AWAY.fullmatch(answer):
+            return Ending(Status.FULL)
+        return Ending(Status.ERROR) if FAILED.fullmatch(answer) else None
+    if not isinstance(answer, list):
+        return None
+    value, note, _ = answer
+    number = 0 if note is None else NOTES.get(note)
+    if number is None or (value is None and number == NOTES[b"hit"]):
         return None
-    value, note = answer[0], answer[1] if len(answer) > 1 else None
-    number = NOTES.get(note, 0) if isinstance(note, bytes) else 0
-    if value is None:
-        return Ending(Status.MISS, note=number)
-    return Ending(Status.OK, value, number) if isinstance(value, bytes) else None
+    return Ending(Status.MISS, note=number) if value is None else Ending(Status.OK, value, number)
 
 
 class CacheConnection(Connection):
@@ -30,7 +37,7 @@
 
     def __init__(self, pool: Pool) -> None:
         super().__init__(pool)
-        self.frames = resp.Frames()
+        self.frames = resp.Frames(answers=True)
 
     def encode(self, exchange: Exchange) -> bytes:
         call = exchange.call
--- a/applehub/node/call.py
+++ b/applehub/node/call.py
@@ -4,12 +4,14 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from applehub.interface import Status
-from applehub.node.resp import MOST_VALUE
+from applehub.interface import Effect, Status
 from applehub.settings import Names
 
 PLAIN = re.compile(rb"[!-~]+")  # fit for a list of names and values, and for an HTTP header
-MOST_WAIT = 3_600_000  # ms
+MOST_NAME = 256  # bytes of a key, which the decisions remember, or of an id
+MOST_INFO = 1024
+WORDS = frozenset("ctkdr")  # the fields that are no figures, or looked at on their own
+NUMBER = re.compile(r"\d{1,15}(?:\.\d{1,9})?")
 
 
 class CallError(ValueError):
@@ -27,7 +29,7 @@
     value: bytes | None
     cls: int
     tenant: int
-    wait: int | None  # ms until the client gives up, from when it sent the command
+    wait: int  # ms until the client gives up, from when it sent the command
     repeat: bool
 
     @property
@@ -37,8 +39,6 @@
     def info_for(self, wait: int) -> bytes:
         """The list with the milliseconds that the router will wait, in place of the client's."""
         told = b"d=%d" % wait
-        if self.wait is None:
-            return self.info + b"," + told
         return b",".join(told if one.startswith(b"d=") else one for one in self.info.split(b","))
 
 
@@ -61,28 +61,46 @@
 
 
 def read_call(parts: list[bytes], names: Names) -> Call:
-    """Reads C.GET key id info, or C.SET key id info value."""
+    """Reads C.GET key id info, or C.SET key id info value. Guards the cache servers: what the protocol does
+    not allow goes no further than this."""
     name = parts[0].upper()
     if len(parts) != (5 if name == b"C.SET" else 4):
         raise CallError("wrong number of arguments")
     key, identity, info = parts[1:4]
-    if not key or len(key) > MOST_VALUE or not PLAIN.fullmatch(identity) or not PLAIN.fullmatch(info):
-        raise CallError("invalid key, id or list")
+    if not 0 < len(key) <= MOST_NAME or len(identity) > MOST_NAME or not PLAIN.fullmatch(identity):
+        raise CallError("invalid key or id")
+    fields = _fields(info)
+    cls = names.classes.get(fields.get("c", ""), -1)
+    if cls < 0:
+        raise CallError("unknown class")
+    effect = names.effects[cls]
+    value = parts[4] if name == b"C.SET" else None
+    # A safe class reads and a keyed one writes; one that may not be repeated can do either.
+    if effect is not Effect.UNSAFE and (value is None) is not (effect is Effect.SAFE):
+        raise CallError(f"not a class for {name.decode()}")
+    if effect is Effect.KEYED and not fields.get("k"):
+        raise CallError("k is missing")
+    tenant = names.tenants.get(fields.get("t", ""), -1) if names.tenants else 0
+    if tenant < 0:
+        raise CallError("unknown tenant")
+    wait = fields.get("d", "")
+    if not wait.isdigit() or len(wait) > 7 or int(wait) < 1:
+        raise CallError("invalid d")
+    if fields.get("r", "1") not in ("0", "1"):
+        raise CallError("invalid r")
+    return Call(name, key, identity, info, value, cls, tenant, int(wait), fields.get("r") == "1")
+
+
+def _fields(info: bytes) -> dict[str, str]:
+    """The list of names and values; the figures among them are numbers."""
+    if len(info) > MOST_INFO or not PLAIN.fullmatch(info):
+        raise CallError("invalid list of names and values")
     fields: dict[str, str] = {}
     for pair in info.decode().split(","):
         field, equals, value = pair.partition("=")
-        if not equals or field in fields:
+        if not equals or not field or field in fields:
             raise CallError("invalid list of names and values")
+        if field not in WORDS and not NUMBER.fullmatch(value):
+            raise CallError(f"invalid {field[:16]}")
         fields[field] = value
-    cls = names.classes.get(fields.get("c", ""))
-    if cls is None:
-        raise CallError("unknown class")
-    tenant = names.tenants.get(fields["t"]) if "t" in fields else 0
-    if tenant is None:
-        raise CallError("unknown tenant")
-    wait = fields.get("d")
-    if wait is not None and (not wait.isdigit() or len(wait) > 7 or int(wait) > MOST_WAIT):
-        raise CallError("invalid d")
-    value_sent = parts[4] if name == b"C.SET" else None
-    number = None if wait is None else int(wait)
-    return Call(name, key, identity, info, value_sent, cls, tenant, number, fields.get("r") == "1")
+    return fields
--- a/applehub/node/clients.py
+++ b/applehub/node/clients.py
@@ -3,19 +3,28 @@
 import asyncio
 import contextlib
 import logging
-from collections import deque
+import socket
+from collections import Counter, deque
 from collections.abc import Callable
 from typing import cast
 
 from applehub.node import resp
 from applehub.node.call import CallError, read_call
 from applehub.node.driver import Driver, Held
+from applehub.node.pool import readable
 from applehub.settings import Names
 
 MOST_PIPELINED = 32  # commands of one connection in work; those behind wait unread
-MOST_BUFFERED = 32 << 20  # bytes of all connections that clients have not finished sending or reading
+MOST_IN_A_TURN = 16  # commands of one connection taken up before others have their turn
+MOST_ACCEPTED = 16  # connections accepted in a turn, so that the cap is looked at between them
 STUCK = 10.0  # s for which a client may leave answers unread
-LINGER = 1.0  # s for which a client that has its last answer may go on sending
+UNFINISHED = 2.6  # s for which a command may be on its way, the first from when the client connected
+SPARED = 2.0  # s for which a connection with no request open is left alone at the cap
+LINGER = 1.0  # s for which a client that has its last answer may go on sending,
+LINGER_BYTES = 256 << 10  # and how much of that is read
+SMALL = 1024  # bytes of an answer that is kept whatever else is
+SWEEP = 0.2
+TOLD_EVERY = 10.0  # s between lines on what clients did wrong
 log = logging.getLogger("applehub")
 
 
@@ -31,7 +40,7 @@
 
     def fill(self, answer: bytes) -> None:
         if self.answer is None:
-            self.answer = answer
+            self.answer = self.client.keep(self, answer)
             self.held = None  # each holds the other: guards memory against waiting for the collector
             self.client.advance()
 
@@ -45,23 +54,30 @@
         self.slots: deque[Slot] = deque()
         self.transport: asyncio.Transport | None = None
         self.last = False  # nothing more is read; closed once all is answered
-        self.advancing = self.blocked = self.lingering = False
-        self.buffered = 0
+        self.advancing = self.blocked = self.lingering = self.yielding = self.spoke = False
+        self.mute = True
+        self.buffered = 0  # bytes as the server counts them
+        self.waiting = 0  # of them, in answers whose turn has not come
+        self.spilt = 0  # bytes read while lingering
         self.stuck: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
-        if len(self.server.open) >= self.server.most:
+        if not self.server.admit(self):
+            self.server.count("turned away")
             self.transport.write(resp.error("max number of clients reached"))
             self.transport.close()
-            return
-        self.server.open.add(self)
 
     def data_received(self, data: bytes) -> None:
-        if self.last:
-            return
-        self.frames.feed(data)
-        self.advance()
+        self.mute = False
+        if self.lingering:
+            # Guards memory and CPU against a client that goes on at full speed: the rest stays unread.
+            self.spilt += len(data)
+            if self.spilt > LINGER_BYTES and self.transport is not None:
+                self.transport.pause_reading()
+        elif not self.last:
+            self.frames.feed(data)
+            self.advance()
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.transport = None
@@ -75,7 +91,7 @@
 
     def pause_writing(self) -> None:
         self.blocked = True
-        self.stuck = asyncio.get_running_loop().call_later(STUCK, self._abort)
+        self.stuck = asyncio.get_running_loop().call_later(STUCK, self.abort)
         self._steer()
 
     def resume_writing(self) -> None:
@@ -84,20 +100,25 @@
             self.stuck.cancel()
         self.advance()
 
-    def _abort(self) -> None:
+    def abort(self) -> None:
         if self.transport is not None:
             self.transport.abort()
 
+    def close(self) -> None:
+        if self.transport is not None:
+            self.transport.close()
+
     def advance(self) -> None:
         """Takes up commands and writes answers, in turn, as far as both go. Guards against recursion: an
         answer that is ready at once, or comes while this runs, is written by this loop."""
         if self.advancing or self.lingering or self.transport is None:
             return
         self.advancing = True
+        turn = 0 if self.yielding else MOST_IN_A_TURN
         try:
-            self._take_up()
-            while self._write() and self.frames.buffer:
-                self._take_up()
+            turn -= self._take_up(turn)
+            while self._write() and turn > 0 and self.frames.buffer:
+                turn -= self._take_up(turn)
         finally:
             self.advancing = False
         if not self.slots and self.last:
@@ -105,47 +126,82 @@
         elif not self.slots and self.server.closing:
             self.transport.close()
         else:
+            if turn == 0 and self.frames.buffer and not self.yielding:
+                # Guards the others against a client that sends hundreds of commands at once.
+                self.yielding = True
+                asyncio.get_running_loop().call_soon(self._again)
             self._steer()
 
+    def _again(self) -> None:
+        self.yielding = False
+        self.advance()
+
     def _linger(self) -> None:
         """Ends the sending and reads on for a while. Guards the last answer: a close with bytes unread is a
         reset, which can reach a client that is still sending before the answer does."""
         assert self.transport is not None
         self.lingering = True
         self.frames.buffer.clear()
+        self.server.place(self)
+        if self.mute:
+            self.transport.close()
+            return
         self._steer()
         if self.transport.can_write_eof() and not self.transport.is_closing():
             self.transport.write_eof()
-        asyncio.get_running_loop().call_later(LINGER, self._abort)
+        asyncio.get_running_loop().call_later(LINGER, self.abort)
 
-    def _take_up(self) -> None:
-        """Takes up the commands that have come, as many as may be in work at once."""
+    def _take_up(self, most: int) -> int:
+        """Takes up the commands that have come, as many as may be in work at once; how many these were."""
+        taken = 0
         try:
-            while not self.last and not self.blocked and len(self.slots) < MOST_PIPELINED:
+            while taken < most and not self.last and not self.blocked and len(self.slots) < MOST_PIPELINED:
                 parts = self.frames.next()
                 if parts is resp.WAITING:
                     break
-                self._command(parts)
+                taken += 1
+                self.spoke = True
+                self.server.heard(self)
+                self._command(cast(list[bytes], parts))
         except resp.FramingError as problem:
             # Where the next command begins is lost: what came before is answered, then this one, last.
-            self.last = True
-            self._put(resp.error(f"Protocol error: {problem}"))
+            self.end(f"Protocol error: {problem}")
+        return taken
+
+    def end(self, problem: str) -> None:
+        """Reads no more: what has been taken is answered, then the problem told, then all is closed."""
+        self.server.count("ended on an error")
+        self.last = True
+        self._put(resp.error(problem))
+
+    def overdue(self) -> None:
+        """Its command has been on its way for too long."""
+        self.end("no whole command in time")
+        self.advance()
+
+    def keep(self, slot: Slot, answer: bytes) -> bytes:
+        """An answer to hold until its turn comes. Guards memory: where there is no room it fails."""
+        held_up = self.transport is not None and (self.blocked or self.slots[0] is not slot)
+        if held_up and len(answer) > SMALL:
+            if self.server.buffered + len(answer) > self.server.most_buffered:
+                return resp.FAILED
+            self.waiting += len(answer)
+            self._account()
+        return answer
 
     def _write(self) -> bool:
         """Writes the answers whose turn has come; whether there were any."""
         ready = []
-        while self.slots and self.slots[0].answer is not None:
+        while self.slots and self.slots[0].answer is not None and not self.blocked:
             ready.append(self.slots.popleft().answer or b"")
         if ready and self.transport is not None:
+            if self.waiting:
+                self.waiting = sum(len(one.answer) for one in self.slots if one.answer is not None)
             self.transport.write(b"".join(ready))
         return bool(ready)
 
-    def _command(self, parts: object) -> None:
-        if not isinstance(parts, list) or not all(isinstance(part, bytes) for part in parts):
-            raise resp.FramingError("expected an array of bulk strings")
-        if not parts:
-            return
-        name = parts[0].upper()
+    def _command(self, parts: list[bytes]) -> None:
+        name = parts[0].upper() if parts else b""
         if name in (b"C.GET", b"C.SET"):
             self._call(parts)
         elif name == b"PING":
@@ -154,12 +210,14 @@
             self._put(b"+OK\r\n")
             self.last = True
         else:
+            self.server.count("bad commands")
             self._put(resp.error("unknown command"))
 
     def _call(self, parts: list[bytes]) -> None:
         try:
             call = read_call(parts, self.server.names)
         except CallError as problem:
+            self.server.count("bad commands")
             self._put(resp.error(str(problem)))
             return
         slot = Slot(self)
@@ -180,38 +238,128 @@
         """Reads on or stops reading. Guards memory against clients that send much or read nothing."""
         if self.transport is None or self.transport.is_closing():
             return
-        if self.blocked or (self.last and not self.lingering) or len(self.slots) >= MOST_PIPELINED:
+        full = self.last or self.yielding or len(self.slots) >= MOST_PIPELINED
+        if self.blocked or (full and not self.lingering):
             self.transport.pause_reading()
         else:
             self.transport.resume_reading()
-        held = len(self.frames.buffer) + self.transport.get_write_buffer_size()
+        self.server.place(self)
+        self._account()
+        over = self.server.buffered > self.server.most_buffered
+        if over and len(self.frames.buffer) > SMALL and not self.last:
+            self.frames.buffer.clear()
+            self.end("out of memory")
+            self.advance()
+
+    def _account(self) -> None:
+        unsent = 0 if self.transport is None else self.transport.get_write_buffer_size()
+        held = len(self.frames.buffer) + unsent + self.waiting
         self.server.buffered += held - self.buffered
         self.buffered = held
-        if self.server.buffered > MOST_BUFFERED and held > resp.MOST_VALUE:
-            self.transport.abort()
+
+    def unread(self) -> bool:
+        """Whether something has come that was not read yet."""
+        return self.transport is not None and readable(self.transport)
 
 
 class Clients:
     """The listener and its connections."""
 
-    def __init__(self, driver: Driver, names: Names, most: int) -> None:
-        self.driver, self.names, self.most = driver, names, most
+    def __init__(self, driver: Driver, names: Names, most: int, most_buffered: int) -> None:
+        self.driver, self.names, self.most, self.most_buffered = driver, names, most, most_buffered
         self.open: set[Client] = set()
-        self.buffered = 0
+        # Since when each has a command on its way or has been idle, and who lingers; longest first.
+        self.awaited: dict[Client, float] = {}
+        self.idle: dict[Client, float] = {}
+        self.lingering: dict[Client, float] = {}
+        self.buffered = 0  # bytes that clients have not finished sending or reading
         self.can_serve: Callable[[], bool] = lambda: False
-        self.closing = False
+        self.closing = self.sweeping = False
+        self.told: Counter[str] = Counter()
         self._empty = asyncio.Event()
         self._server: asyncio.Server | None = None
 
     async def listen(self, host: str, port: int) -> tuple[str, int]:
         loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(lambda: Client(self), host, port, backlog=1024)
-        address: tuple[str, int] = self._server.sockets[0].getsockname()[:2]
+        listener = socket.create_server((host, port))
+        # What is accepted in a turn is bounded by the backlog given here; the system's own is set anew.
+        self._server = await loop.create_server(lambda: Client(self), sock=listener, backlog=MOST_ACCEPTED)
+        listener.listen(1024)
+        address: tuple[str, int] = listener.getsockname()[:2]
         return address
 
+    def admit(self, client: Client) -> bool:
+        """Takes in a new connection; at the cap only where another can go."""
+        if len(self.open) >= self.most and not self._make_room():
+            return False
+        self.open.add(client)
+        self.awaited[client] = asyncio.get_running_loop().time()
+        if not self.sweeping:
+            self.sweeping = True
+            asyncio.get_running_loop().call_later(SWEEP, self._sweep)
+        return True
+
+    def _make_room(self) -> bool:
+        """Closes who lingers longest, has been mute or idle longest. Guards newcomers against connections
+        that asked once and stay, and requests against a close: none goes with one open or bytes unread."""
+        for client in self.lingering:
+            client.abort()
+            self.gone(client)
+            return True
+        before = asyncio.get_running_loop().time() - SPARED
+        for group in (self.awaited, self.idle):
+            for client, since in group.items():
+                if since > before:
+                    break
+                if not client.slots and not client.frames.buffer and not client.unread():
+                    self.count("closed idle")
+                    client.close()
+                    self.gone(client)
+                    return True
+        return False
+
+    def heard(self, client: Client) -> None:
+        """A whole command has come: what it waits for next counts from then."""
+        self.awaited.pop(client, None)
+        self.idle.pop(client, None)
+
+    def place(self, client: Client) -> None:
+        """Notes what a connection waits for."""
+        now = asyncio.get_running_loop().time()
+        waits = not client.last and not client.blocked and not client.yielding
+        coming = waits and len(client.slots) < MOST_PIPELINED and (client.frames.buffer or not client.spoke)
+        idle = waits and not coming and not client.slots
+        for group, belongs in ((self.awaited, coming), (self.idle, idle), (self.lingering, client.lingering)):
+            if belongs:
+                group.setdefault(client, now)
+            else:
+                group.pop(client, None)
+
+    def _sweep(self) -> None:
+        """Guards against clients that connect and say nothing, stop half-way or dribble."""
+        now = asyncio.get_running_loop().time()
+        for client in [one for one, since in self.awaited.items() if since < now - UNFINISHED]:
+            client.overdue()
+        self.sweeping = bool(self.open)
+        if self.sweeping:
+            asyncio.get_running_loop().call_later(SWEEP, self._sweep)
+
+    def count(self, what: str) -> None:
+        """Counts what clients did wrong: one line now and then, however many they are."""
+        if not self.told:
+            asyncio.get_running_loop().call_later(TOLD_EVERY, self._tell)
+        self.told[what] += 1
+
+    def _tell(self) -> None:
+        log.info("clients: %s", ", ".join(f"{number} {what}" for what, number in sorted(self.told.items())))
+        self.told.clear()
+
     def gone(self, client: Client) -> None:
         self.open.discard(client)
+        for group in (self.awaited, self.idle, self.lingering):
+            group.pop(client, None)
         self.buffered -= client.buffered
+        client.buffered = 0
         if self.closing and not self.open:
             self._empty.set()
 
--- a/applehub/node/driver.py
+++ b/applehub/node/driver.py
@@ -16,7 +16,6 @@
 MILLI = 1_000_000
 SECOND = 1_000_000_000
 WAY_BACK = 8 * MILLI  # kept of a client's time so that the last answer reaches it before it leaves
-MOST_HELD_BYTES = 48 << 20  # of the values that wait here
 log = logging.getLogger("applehub")
 
 
@@ -49,8 +48,9 @@
 class Driver:
     """The host of one Balancer."""
 
-    def __init__(self, balancer: Balancer, pools: Pools, most_held: int) -> None:
-        self.balancer, self.pools, self.most_held = balancer, pools, most_held
+    def __init__(self, balancer: Balancer, pools: Pools, most_held: int, most_bytes: int) -> None:
+        self.balancer, self.pools = balancer, pools
+        self.most_held, self.most_bytes = most_held, most_bytes  # requests, and the bytes of these
         self.loop = asyncio.get_running_loop()
         self.held: dict[str, Held] = {}
         self.held_bytes = 0
@@ -65,12 +65,12 @@
         if name in self.held:
             reply(resp.error("this id is in use"))
             return None
-        if len(self.held) >= self.most_held or self.held_bytes + call.size > MOST_HELD_BYTES:
+        if len(self.held) >= self.most_held or self.held_bytes + call.size > self.most_bytes:
             reply(resp.refused(0))  # not begun, so that repeating is harmless
             return None
         now = time.monotonic_ns()
         spec = self.balancer.settings.classes[call.cls]
-        until = now + (spec.deadline if call.wait is None else call.wait * MILLI)
+        until = now + min(call.wait * MILLI, spec.deadline)  # a client waits for no longer than that
         until = min(until, self.stop_at or until)
         held = self.held[name] = Held(name, call, reply, until - WAY_BACK)
         self.held_bytes += call.size
--- a/applehub/node/http1.py
+++ b/applehub/node/http1.py
@@ -54,6 +54,7 @@
                 event = self.connection.next_event()
                 if isinstance(event, h11.Response):
                     self.answer = Answer(event.status_code, dict(event.headers))
+                    self._check_length(self.answer.headers)
                 elif isinstance(event, h11.Data) and self.answer is not None:
                     self.answer.body += event.data
                     if len(self.answer.body) > self.most:
@@ -65,6 +66,15 @@
         except h11.RemoteProtocolError as problem:
             raise HttpError(str(problem)) from None
 
+    def _check_length(self, headers: dict[bytes, bytes]) -> None:
+        """Guards against an answer cut short, which would pass for whole if only a close ended it, and
+        against a length that is huge: it is known before any of it has come."""
+        length = headers.get(b"content-length")
+        if length is None and b"transfer-encoding" not in headers:
+            raise HttpError("answer of no told length")
+        if length is not None and int(length) > self.most:
+            raise HttpError("answer too large")
+
     def next_cycle(self) -> bool:
         """Makes ready for another request; whether the connection can carry one."""
         self.answer = None
--- a/applehub/node/origin.py
+++ b/applehub/node/origin.py
@@ -9,12 +9,14 @@
 from applehub.node.resp import MOST_VALUE
 
 
-def ending_of(answer: Answer) -> Ending:
-    """What the origin's answer says. A 503 or 504 proves nothing unless the origin itself says so."""
+def ending_of(answer: Answer) -> Ending | None:
+    """What the origin's answer says; none for one that it does not give. A 503 or 504 proves nothing unless
+    the origin itself says so."""
     if answer.status == 200:
         return Ending(Status.OK, bytes(answer.body))
-    rejected = answer.status in (503, 504) and answer.headers.get(b"x-rejected") == b"1"
-    return Ending(Status.FULL if rejected else Status.ERROR)
+    if answer.status in (503, 504) and answer.headers.get(b"x-rejected") == b"1":
+        return Ending(Status.FULL)
+    return Ending(Status.ERROR) if answer.status == 500 else None
 
 
 class OriginConnection(Connection):
@@ -37,8 +39,12 @@
             self.spoil()
             return
         if answer is not None:
-            self.finish(ending_of(answer), self.http.next_cycle())
+            ending = ending_of(answer)
+            if ending is None:
+                self.spoil()
+            else:
+                self.finish(ending, self.http.next_cycle())
 
     def eof_received(self) -> None:
         if self.exchange is not None:
-            self.read(b"")  # the end of the stream may be the end of an answer
+            self.spoil()  # an answer tells its length, so that it is not whole
--- a/applehub/node/pool.py
+++ b/applehub/node/pool.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import contextlib
+import errno
 import logging
+import select
 import socket
 from abc import abstractmethod
 from collections.abc import Callable
@@ -13,11 +15,20 @@
 
 IDLE_MOST = 10.0  # s after which an idle connection is surplus: it costs more than opening one anew
 IDLE_PART = 0.8  # of the server's keepalive: closed well before the server does
+SETTLE = 0.005  # s after an answer in which what comes behind it shows
 SWEEP = 1.0
+OUR_OWN = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)
 Endpoint = tuple[str, int]
 log = logging.getLogger("applehub")
 
 
+def readable(transport: asyncio.Transport) -> bool:
+    """Whether something has come on a connection, or its end, that was not read yet."""
+    poller = select.poll()
+    poller.register(transport.get_extra_info("socket"), select.POLLIN)
+    return bool(poller.poll(0))
+
+
 class Connection(asyncio.Protocol):
     """A connection that carries one attempt at a time and tells how it ended."""
 
@@ -87,9 +98,9 @@
         """What came can't be read: the attempt is reset and the connection of no further use."""
         self.finish(Ending(Status.RESET), reusable=False)
 
-    def lost(self) -> None:
+    def lost(self, never_up: Status = Status.CONNECT_FAILED) -> None:
         """The connection is gone or never came up."""
-        status = Status.CONNECT_FAILED if self.unsent else Status.RESET
+        status = never_up if self.unsent else Status.RESET
         self.pool.drop(self)
         exchange, self.exchange = self.exchange, None
         if exchange is not None:
@@ -134,12 +145,10 @@
 
     def start(self, exchange: Exchange) -> Connection | None:
         """Begins an attempt; none where the router may open no more connections."""
-        while self.idle:
-            connection = self.idle.pop()
-            # Guards against one whose end is known and not yet cleared away: nothing would be sent on it.
-            if connection.transport is not None and not connection.transport.is_closing():
-                connection.ask(exchange)
-                return connection
+        connection = self._settled()
+        if connection is not None:
+            connection.ask(exchange)
+            return connection
         if not self.pools.room():
             return None
         connection = self.make(self)
@@ -149,14 +158,29 @@
         connection.dialling = asyncio.get_running_loop().create_task(self._dial(connection))
         return connection
 
+    def _settled(self) -> Connection | None:
+        """The newest idle connection that is fit for use. Guards against a second copy of an answer behind
+        the first, which would pass for the next one's: a connection rests for a moment, then nothing may be
+        there to be read. Nor may its end be known, since nothing would be sent on it."""
+        before = asyncio.get_running_loop().time() - SETTLE
+        for connection in [one for one in reversed(self.idle) if one.idle_since <= before]:
+            transport = connection.transport
+            if transport is not None and not transport.is_closing() and not readable(transport):
+                self.idle.remove(connection)
+                return connection
+            connection.close()
+        return None
+
     async def _dial(self, connection: Connection) -> None:
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(self.pools.dial_timeout):
                 await loop.create_connection(lambda: connection, *self.endpoint)
-        except (OSError, TimeoutError):
+        except (OSError, TimeoutError) as problem:
             if connection.transport is None:
-                connection.lost()
+                # Guards a server's name: that the router itself has no more to open is not its fault.
+                ours = isinstance(problem, OSError) and problem.errno in OUR_OWN
+                connection.lost(Status.FULL if ours else Status.CONNECT_FAILED)
 
     def release(self, connection: Connection) -> None:
         if self.retired or connection not in self.all:
--- a/applehub/node/resp.py
+++ b/applehub/node/resp.py
@@ -1,19 +1,19 @@
 """RESP2 as the router reads and writes it."""
 
-from typing import Any
-
 import hiredis
 
 MOST_VALUE = 64 * 1024  # bytes of a key, an id, a list or a value
 MOST_LINE = 1024
+MOST_HEAD = 16  # bytes of a line that tells a length
 MOST_ITEMS = 8
 MOST_FRAME = 5 * MOST_VALUE  # a write has four large parts at the most
+ANSWER_ITEMS = 3  # the value, how it went, the load report
 WAITING = object()  # no whole value has come yet
 FAILED = b"-ERR failed\r\n"
 
 
 class FramingError(ValueError):
-    """What came is no RESP2, or larger than the router takes: the stream is of no further use."""
+    """What came is no RESP2, or not what may come here: the stream is of no further use."""
 
 
 def bulk(value: bytes) -> bytes:
@@ -33,66 +33,69 @@
 
 
 def _length(line: bytes, most: int) -> int:
-    if line == b"-1":
-        return -1
-    if not line.isdigit() or len(line) > 10 or int(line) > most:
+    if not line.isdigit() or (line[:1] == b"0" and line != b"0") or int(line) > most:
         raise FramingError("invalid or oversized length")
     return int(line)
 
 
 class Frames:
-    """Cuts a stream into whole values. Guards against lengths that lie: hiredis makes room for what a
-    header announces and does not look at what ends a string, so it gets whole, measured values only."""
+    """Cuts a stream into whole commands or, at the other side, answers: an array of strings, or an error
+    line. Guards against lengths that lie, on the line that tells them: hiredis makes room for what a header
+    announces and does not look at what ends a string, so it gets whole, measured values only."""
 
-    __slots__ = ("at", "buffer", "missing", "reader")
+    __slots__ = ("answers", "at", "buffer", "missing", "reader")
 
-    def __init__(self) -> None:
+    def __init__(self, answers: bool = False) -> None:
         self.buffer = bytearray()
+        self.answers = answers
         self.at, self.missing = 0, 1  # how far it is measured, and how many values that lacks
         self.reader = hiredis.Reader()
 
     def feed(self, data: bytes) -> None:
         self.buffer += data
 
-    def next(self) -> Any:
-        """The next whole value, or WAITING."""
+    def next(self) -> object:
+        """The next command or answer as a list, an error line as bytes, or WAITING."""
         while self.missing:
             if not self._measure():
                 return WAITING
-            # Guards against arrays in arrays without end: each part is small, and the whole never comes.
-            if self.at > MOST_FRAME or self.missing > MOST_ITEMS:
+            if self.at > MOST_FRAME:
                 raise FramingError("too large")
-        self.reader.feed(bytes(self.buffer[: self.at]))
+        whole = bytes(self.buffer[: self.at])
         del self.buffer[: self.at]
         self.at, self.missing = 0, 1
-        try:
-            return self.reader.gets()
-        except hiredis.ProtocolError as problem:
-            raise FramingError(str(problem)) from None
+        if whole[:1] == b"-":
+            return whole[1:-2]
+        self.reader.feed(whole)
+        return self.reader.gets()
 
     def _measure(self) -> bool:
-        """Steps over one value, or the head of an array; whether it was there."""
+        """Steps over the head of an array, a string in it, or an error line; whether it was there."""
         buffer, at = self.buffer, self.at
         if at >= len(buffer):
             return False
-        if buffer[at] not in b"+-:$*":
-            raise FramingError("invalid first byte")
-        end = buffer.find(b"\r\n", at, at + MOST_LINE)
+        kind = bytes(buffer[at : at + 1])
+        line = kind == b"-" and self.answers and not at
+        if not line and kind != (b"$" if at else b"*"):
+            raise FramingError("expected an array of bulk strings")
+        most = MOST_LINE if line else MOST_HEAD
+        end = buffer.find(b"\r\n", at, at + most)
         if end < 0:
-            if len(buffer) - at >= MOST_LINE:
+            if len(buffer) - at >= most:
                 raise FramingError("line too long")
             return False
-        line, kind = bytes(buffer[at + 1 : end]), buffer[at : at + 1]
-        end += 2
+        told, end = bytes(buffer[at + 1 : end]), end + 2
         if kind == b"*":
-            self.missing += max(0, _length(line, MOST_ITEMS))
-        elif kind == b"$":
-            size = _length(line, MOST_VALUE)
-            if size >= 0:
-                if len(buffer) < end + size + 2:
-                    return False
-                if buffer[end + size : end + size + 2] != b"\r\n":
-                    raise FramingError("string longer than announced")
-                end += size + 2
+            count = _length(told, MOST_ITEMS)
+            if self.answers and count != ANSWER_ITEMS:
+                raise FramingError("no answer has so many parts")
+            self.missing += count
+        elif not line and not (self.answers and told == b"-1"):
+            size = _length(told, MOST_VALUE)
+            if len(buffer) < end + size + 2:
+                return False
+            if buffer[end + size : end + size + 2] != b"\r\n":
+                raise FramingError("string longer than announced")
+            end += size + 2
         self.at, self.missing = end, self.missing - 1
         return True
--- a/applehub/settings.py
+++ b/applehub/settings.py
@@ -98,6 +98,7 @@
     """What stands on the sockets for the module's indexes."""
 
     classes: dict[str, int]
+    effects: list[io.Effect]  # of each class
     tenants: dict[str, int]
     zones: dict[str, int]
     kinds: dict[str, int]
@@ -124,6 +125,7 @@
     classes, tenants = _objects(info, "classes"), _objects(info, "tenants", [])
     return Names(
         _indexes({"name": [one.get("name") for one in classes]}, "classes[].name", []),
+        [_class(one, number).effect for number, one in enumerate(classes)],
         _indexes({"name": [one.get("name") for one in tenants]}, "tenants[].name", []),
         _indexes(info, "azs", []),
         _indexes(info, "hostTypes", []),
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -200,6 +200,7 @@
     ),
     entries: Callable[[Cache, Web], list[Json]] | None = None,
     sockets: int = 64,
+    memory: int = 8 << 20,
     **ceilings: Any,
 ) -> AsyncIterator[Bench]:
     """One router with one cache server and one origin, wired as the program does it."""
@@ -211,8 +212,8 @@
     told = info(**ceilings)
     settings, limits, names = read_settings(told), read_ceilings(told), read_names(told)
     pools = Pools(sockets, limits.dial_timeout / 1e9, limits.keepalive / 1e9)
-    driver = Driver(Balancer(settings, 1), pools, limits.most_held)
-    clients = Clients(driver, names, sockets)
+    driver = Driver(Balancer(settings, 1), pools, limits.most_held, memory)
+    clients = Clients(driver, names, sockets, memory)
     directory = Directory(names, 1, pools, driver.members)
     clients.can_serve = lambda: directory.can_serve
     listed = [entry("c0", peers[0].address), entry("o", peers[1].address, model="origin")]
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -13,7 +13,7 @@
 from peers import PATIENCE, Cache, Caller, Web, entry, hit, http, info, router, soon
 
 from applehub import interface as api
-from applehub.node import discovery
+from applehub.node import discovery, pool
 from applehub.node.discovery import Directory, ListError, Watch
 from applehub.node.pool import Pools
 from applehub.settings import read_names
@@ -75,7 +75,8 @@
             one.take(bad)
 
 
-async def test_a_changed_endpoint_or_start_drops_the_old_connections() -> None:
+async def test_a_changed_endpoint_or_start_drops_the_old_connections(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(pool, "SETTLE", 0.0)
     async with router(lambda asked, line: hit() if asked[2] != b"hang" else None) as bench:
         caller = await bench.caller()
         caller.get()
@@ -90,9 +91,9 @@
         await soon(lambda: bench.cache.ended == 1)
         second = Cache(lambda asked, line: hit(b"second"))
         await second.start()
-        pool = bench.pools.pools["c0"]
+        first = bench.pools.pools["c0"]
         bench.directory.take(listing(7, {**change, "endpoint": second.address}, whole=False))
-        assert bench.pools.pools["c0"] is not pool and pool.retired
+        assert bench.pools.pools["c0"] is not first and first.retired
         await second.stop()
 
 
--- /dev/null
+++ b/tests/test_hostile.py
@@ -0,0 +1,374 @@
+"""Peers that send what they should not, over loopback sockets: clients, cache servers and the origin."""
+
+import asyncio
+import socket
+from typing import Any
+
+import pytest
+from peers import FETCHED, MISS, Bench, entry, hit, http, info, router, soon
+
+from applehub.node import clients, pool, resp
+from applehub.node.call import CallError, read_call
+from applehub.settings import read_names
+
+INFO = b"c=read,t=acme,d=9000"
+ONCE = b"c=once,t=acme,d=9000"
+
+
+@pytest.mark.parametrize("sent", [b"", b"*2\r\n$5\r\nC.G", b"*"])
+async def test_a_client_that_sends_no_whole_command_is_told_so_in_time(
+    monkeypatch: pytest.MonkeyPatch, sent: bytes
+) -> None:
+    """Connections that say nothing, or dribble, were kept for good."""
+    monkeypatch.setattr(clients, "UNFINISHED", 0.3)
+    async with router() as bench:
+        caller = await bench.caller()
+        caller.writer.write(sent)
+        usual = await bench.caller()
+        usual.get()
+        assert await usual.answer() == b"v"
+        assert str(await caller.answer()) == "ERR no whole command in time"
+        assert await caller.answer() is None
+        usual.get(name=b"i2")
+        assert await usual.answer() == b"v"
+
+
+async def test_dribbling_gains_a_client_no_time(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(clients, "UNFINISHED", 0.3)
+    async with router() as bench:
+        caller = await bench.caller()
+        caller.get()
+        assert await caller.answer() == b"v"
+
+        async def dribble() -> None:
+            for byte in resp.command(b"C.GET", b"k" * 200, b"i2", INFO):
+                caller.writer.write(bytes([byte]))
+                await asyncio.sleep(0.02)
+
+        task = asyncio.create_task(dribble())
+        assert str(await caller.answer()) == "ERR no whole command in time"
+        task.cancel()
+
+
+async def test_at_the_cap_the_longest_idle_connection_makes_room(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A newcomer was turned away while others had asked once and stayed. Whose request is open stays."""
+    monkeypatch.setattr(clients, "SPARED", 0.0)
+    async with router(lambda asked, line: None if asked[2] == b"open" else hit(), sockets=3) as bench:
+        busy = await bench.caller()
+        busy.get(name=b"open")
+        await soon(lambda: bench.cache.got)
+        first, second = await bench.caller(), await bench.caller()
+        for n, one in enumerate((first, second)):
+            one.get(name=b"i%d" % n)
+            assert await one.answer() == b"v"
+        late = await bench.caller()
+        late.get(name=b"late")
+        assert await late.answer() == b"v"
+        assert await first.answer() is None
+        second.get(name=b"i3")
+        assert await second.answer() == b"v"
+        bench.cache.lines[0].write(hit(b"open"))
+        assert await busy.answer() == b"open"
+
+
+async def test_what_a_client_has_sent_unread_keeps_its_place(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Closing it would have lost a request that lay in the socket."""
+    monkeypatch.setattr(clients, "SPARED", 0.0)
+    async with router(sockets=1) as bench:
+        caller = await bench.caller()
+        caller.get()
+        assert await caller.answer() == b"v"
+        (one,) = bench.clients.open
+        taken = bench.clients.idle.copy()
+        assert list(taken) == [one] and not one.unread()
+        caller.get(name=b"i2")
+        raw = caller.writer.get_extra_info("socket")
+        assert raw is not None and one.unread()
+        assert not bench.clients.admit(clients.Client(bench.clients))
+        assert await caller.answer() == b"v"
+
+
+async def test_what_is_sent_after_the_last_answer_is_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A client turned away that went on at full speed was read at full speed for a second."""
+    monkeypatch.setattr(clients, "LINGER_BYTES", 1 << 16)
+    async with router() as bench:
+        caller = await bench.caller()
+        caller.writer.write(b"*5\r\n$5\r\nC.SET\r\n$1\r\nk\r\n$1\r\ni\r\n$5\r\nc=put\r\n$62914560\r\n")
+        (client,) = await soon(lambda: list(bench.clients.open))
+        caller.writer.write(bytes(16 << 20))
+        assert str(await caller.answer()) == "ERR Protocol error: invalid or oversized length"
+        await soon(lambda: client not in bench.clients.open)
+        assert client.spilt <= (1 << 16) + (256 << 10)
+        assert not bench.clients.lingering and bench.clients.buffered == 0
+
+
+async def test_hundreds_of_commands_at_once_do_not_starve_the_others() -> None:
+    async with router() as bench:
+        greedy, usual = await bench.caller(), await bench.caller()
+        usual.send(b"PING")
+        assert await usual.answer() == b"PONG"
+        turns: list[int] = []
+        take_up = clients.Client._take_up
+
+        def counted(self: clients.Client, most: int) -> int:
+            turns.append(take_up(self, most))
+            return turns[-1]
+
+        clients.Client._take_up = counted  # type: ignore[method-assign]
+        try:
+            greedy.writer.write(resp.command(b"PING") * 1000)
+            for _ in range(1000):
+                assert await greedy.answer() == b"PONG"
+        finally:
+            clients.Client._take_up = take_up  # type: ignore[method-assign]
+        assert max(turns) <= clients.MOST_IN_A_TURN and sum(turns) == 1000
+
+
+async def test_answers_whose_turn_has_not_come_are_counted_and_bounded() -> None:
+    """Behind one slow answer, others piled up uncounted; now those that find no room fail."""
+    value = bytes(60_000)
+
+    async with router(
+        lambda asked, line: None if asked[2] == b"slow" else hit(value), memory=200_000
+    ) as bench:
+        caller = await bench.caller()
+        caller.get(name=b"slow")
+        seen = ["slow"]
+        for n in range(8):
+            seen.append(f"i{n}")
+            caller.get(name=b"i%d" % n)
+            await soon(lambda: len(bench.cache.got) == len(seen) and len(bench.driver.held) == 1)
+        assert bench.clients.buffered <= 200_000
+        bench.cache.lines[0].write(hit(b"at last"))
+        answers = [await caller.answer() for _ in range(9)]
+        assert answers[0] == b"at last" and answers.count(value) == 3
+        assert [str(one) for one in answers[1:] if one != value] == ["ERR failed"] * 5
+        await soon(lambda: bench.clients.buffered == 0)
+
+
+@pytest.mark.parametrize(
+    "parts",
+    [
+        (b"C.SET", b"k", b"i", INFO, b"v"),
+        (b"C.GET", b"k", b"i", b"c=put,t=acme,d=9000,k=1"),
+        (b"C.SET", b"k", b"i", b"c=put,t=acme,d=9000", b"v"),
+        (b"C.SET", b"k", b"i", b"c=put,t=acme,d=9000,k=", b"v"),
+        (b"C.GET", b"k", b"i", b"c=read,t=acme"),
+        (b"C.GET", b"k", b"i", b"c=read,t=acme,d=0"),
+        (b"C.GET", b"k", b"i", b"c=read,t=acme,d=-5"),
+        (b"C.GET", b"k", b"i", b"c=read,d=9000"),
+        (b"C.GET", b"k", b"i", INFO + b",h=much"),
+        (b"C.GET", b"k", b"i", INFO + b",size=-1"),
+        (b"C.GET", b"k", b"i", INFO + b",r=maybe"),
+        (b"C.GET", b"k", b"i", INFO + b",d=9000"),
+        (b"C.GET", b"k", b"", INFO),
+        (b"C.GET", b"k" * 257, b"i", INFO),
+    ],
+)
+def test_what_the_protocol_does_not_allow_is_not_taken(parts: Any) -> None:
+    names = read_names(info())
+    with pytest.raises(CallError):
+        read_call(list(parts), names)
+    read_call([b"C.GET", b"k", b"i", INFO + b",h=120,size=1800,r=1"], names)
+    read_call([b"C.SET", b"k", b"i", b"c=put,t=acme,d=9000,k=5c0f", b"v"], names)
+
+
+async def test_a_command_without_parts_gets_an_error() -> None:
+    async with router() as bench:
+        caller = await bench.caller()
+        caller.writer.write(b"*0\r\n")
+        assert str(await caller.answer()).startswith("ERR ")
+
+
+@pytest.mark.parametrize(
+    "reply",
+    [
+        b"-BUSYnoise\r\n",
+        b"-BUSY \xff\xfe\r\n",
+        b"-BUSY\n-ERR failed\r\n",
+        b"-ERR failedly\r\n",
+        b"-ERR other\r\n",
+        b"*2\r\n$1\r\nv\r\n$3\r\nhit\r\n",
+        b"*4\r\n$1\r\nv\r\n$3\r\nhit\r\n$-1\r\n$-1\r\n",
+        b"*3\r\n$1\r\nv\r\n$4\r\nhuh?\r\n$-1\r\n",
+        b"*3\r\n$-1\r\n$3\r\nhit\r\n$-1\r\n",
+        b"*3\r\n+v\r\n$3\r\nhit\r\n$-1\r\n",
+        b"*3\r\n*1\r\n$1\r\nv\r\n$-1\r\n$-1\r\n",
+        b"*3\r\n$3221225472\r\n",
+        b"*3\r\n$0001\r\nv\r\n$3\r\nhit\r\n$-1\r\n",
+        b"*3\r\n$1\r\nvv\r\n$3\r\nhit\r\n$-1\r\n",
+        b"*3\r\n$-7\r\n",
+        b"$1\r\nv\r\n",
+        b"-" + b"x" * 2000,
+    ],
+)
+async def test_a_spoilt_answer_is_no_answer_and_may_have_run(reply: bytes) -> None:
+    """Noise behind -BUSY passed for proof that nothing ran, and an array of any length for a value."""
+    async with router(lambda asked, line: reply) as bench:
+        caller = await bench.caller()
+        caller.get(info=ONCE)
+        assert str(await caller.answer()) == "ERR failed"
+        await soon(lambda: bench.cache.ended == 1)
+        assert len(bench.cache.got) == 1
+
+
+@pytest.mark.parametrize(
+    ("reply", "answer"),
+    [
+        (b"*3\r\n$1\r\nv\r\n$-1\r\n$5\r\n\xff\r\nx,\r\n", "v"),
+        (b"-BUSY inflight=?,queue\r\n", "BUSY"),
+        (b"-ERR failed inflight=7\r\n", "ERR failed"),
+    ],
+)
+async def test_an_unreadable_load_report_spoils_nothing_but_itself(reply: bytes, answer: str) -> None:
+    async with router(lambda asked, line: reply) as bench:
+        caller = await bench.caller()
+        caller.get(info=ONCE)
+        told = await caller.answer()
+        assert (told.decode() if isinstance(told, bytes) else str(told)) == answer
+        assert bench.cache.ended == 0
+
+
+@pytest.mark.parametrize(
+    "reply",
+    [
+        b"HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\nvvvv",
+        b"HTTP/1.1 200 OK\r\n\r\nhalf a va",
+        b"HTTP/1.1 200 OK\r\nContent-Length: -4\r\n\r\nv",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 2\r\n\r\nvvvv",
+        http(404, b"no"),
+        http(302, b""),
+    ],
+)
+async def test_a_spoilt_answer_of_the_origin_is_a_failure(reply: bytes) -> None:
+    """Without a length, an answer cut short passed for the whole value."""
+
+    def answer(asked: Any, line: asyncio.StreamWriter) -> bytes:
+        asyncio.get_running_loop().call_later(0.1, line.close)
+        return reply
+
+    async with router(origin=answer) as bench:
+        caller = await bench.caller()
+        caller.send(b"C.SET", b"k", b"w", ONCE, b"value")
+        assert str(await caller.answer()) == "ERR failed"
+        await soon(lambda: bench.origin.ended == 1)
+        assert len(bench.origin.got) == 1
+
+
+async def test_answers_of_1xx_ahead_change_nothing() -> None:
+    ahead = b"HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n" + b"HTTP/1.1 102 P\r\n\r\n"
+    async with router(lambda asked, line: MISS, origin=lambda asked, line: ahead + FETCHED) as bench:
+        caller = await bench.caller()
+        for n in range(2):
+            caller.get(b"k%d" % n, name=b"i%d" % n)
+            assert await caller.answer() == b"from origin"
+
+
+async def reused(bench: Bench, behind: bytes) -> Any:
+    """One request, then something behind its answer that nobody reads, then another."""
+    caller = await bench.caller()
+    caller.get(name=b"i1")
+    assert await caller.answer() == b"i1"
+    (idle,) = bench.pools.pools["c0"].idle
+    assert idle.transport is not None
+    idle.transport.pause_reading()  # as when it comes between two looks at the sockets
+    bench.cache.lines[0].write(behind)
+    await soon(lambda: pool.readable(idle.transport))  # type: ignore[arg-type]
+    caller.get(name=b"i2")
+    return await caller.answer()
+
+
+@pytest.mark.parametrize("behind", [hit(b"i1"), b"\xff"])
+async def test_a_second_copy_behind_an_answer_is_not_the_next_answer(
+    monkeypatch: pytest.MonkeyPatch, behind: bytes
+) -> None:
+    monkeypatch.setattr(pool, "SETTLE", 0.0)
+    async with router(lambda asked, line: hit(asked[2])) as bench:
+        assert await reused(bench, behind) == b"i2"
+        assert len(bench.cache.lines) == 2
+
+
+async def test_a_connection_rests_after_an_answer(monkeypatch: pytest.MonkeyPatch) -> None:
+    """What comes right behind an answer may come a little after it."""
+    monkeypatch.setattr(pool, "SETTLE", 1000.0)
+    async with router(lambda asked, line: hit(asked[2])) as bench:
+        caller = await bench.caller()
+        for n in range(2):
+            caller.get(name=b"i%d" % n)
+            assert await caller.answer() == b"i%d" % n
+        assert len(bench.cache.lines) == 2
+
+
+async def test_a_full_table_of_our_own_is_no_fault_of_a_server(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A dial that found no descriptor left counted as a server that is down."""
+    async with router() as bench:
+
+        async def none_left(*_: Any, **__: Any) -> None:
+            raise OSError(24, "Too many open files")
+
+        caller = await bench.caller()
+        monkeypatch.setattr(asyncio.get_running_loop(), "create_connection", none_left)
+        caller.get(info=ONCE)
+        assert str(await caller.answer()).startswith("BUSY")
+        assert bench.driver.balancer.servers["c0"].fails == 0
+        assert not bench.pools.pools["c0"].all
+
+
+async def test_a_new_server_at_an_old_address_owes_nothing_of_the_old_ones(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(pool, "SETTLE", 0.0)
+    async with router(lambda asked, line: None if asked[2] == b"i1" else hit()) as bench:
+        caller = await bench.caller()
+        caller.get(name=b"i1")
+        await soon(lambda: bench.cache.got)
+        new = entry("c9", bench.cache.address, boot_ms=1)
+        origin = entry("o", bench.origin.address, model="origin")
+        bench.directory.take({"rev": 9, "all": True, "targets": [new, origin]})
+        bench.cache.lines[0].transport.abort()
+        other = await bench.caller()
+        other.get(name=b"i2")
+        assert await other.answer() == b"v"
+        servers, pools = bench.driver.balancer.servers, bench.pools
+        await soon(lambda: not bench.driver.held)
+        assert set(servers) == {"c9", "o"} and set(pools.pools) == {"c9", "o"}
+        assert servers["c9"].fails == 0 and servers["c9"].out == 0
+        assert not any(one.all for one in pools.leaving)
+
+
+async def test_the_sockets_hold_nothing_once_all_is_answered() -> None:
+    """After every way an attempt can end, its connection, its place and the module's count are free."""
+    replies = [hit(), MISS, b"-BUSY\r\n", b"-ERR failed\r\n", b"noise", None]
+
+    def answer(asked: list[bytes], line: asyncio.StreamWriter) -> bytes | None:
+        reply = replies[int(asked[2]) % len(replies)]
+        if reply is None:
+            line.transport.abort()
+        return reply
+
+    async with router(answer) as bench:
+        caller = await bench.caller()
+        for n in range(60):
+            caller.get(b"k%d" % n, b"%d" % n)
+            await caller.answer()
+        await soon(lambda: not bench.driver.held)
+        balancer = bench.driver.balancer
+        assert not balancer.jobs and not balancer.fetches and not balancer.reads
+        await soon(lambda: all(len(one.all) == len(one.idle) for one in bench.pools.pools.values()))
+        assert not any(one.out for one in balancer.servers.values())
+        assert bench.driver.held_bytes == 0
+
+
+def test_a_socket_that_is_closed_by_its_peer_is_readable() -> None:
+    class Bare:
+        def __init__(self, one: socket.socket) -> None:
+            self.one = one
+
+        def get_extra_info(self, _: str) -> socket.socket:
+            return self.one
+
+    one, other = socket.socketpair()
+    with one, other:
+        assert not pool.readable(Bare(one))  # type: ignore[arg-type]
+        other.shutdown(socket.SHUT_RDWR)
+        assert pool.readable(Bare(one))  # type: ignore[arg-type]
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -10,7 +10,7 @@
 from peers import MISS, Cache, Web, entry, hit, http, router, soon
 
 from applehub import interface as api
-from applehub.node import resp
+from applehub.node import pool, resp
 from applehub.node.call import Call, Exchange
 from applehub.node.driver import WAY_BACK, Held
 
@@ -73,7 +73,8 @@
         assert [await caller.answer() for _ in range(3)] == [b"i1", b"i2", b"PONG"]
 
 
-async def test_one_connection_serves_one_attempt_after_another() -> None:
+async def test_one_connection_serves_one_attempt_after_another(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(pool, "SETTLE", 0.0)
     async with router() as bench:
         caller = await bench.caller()
         for n in range(20):
