Take uvloop and httptools, read simple frames in one go, repeat less in the module

A sampling profile of a router under four times the load and micro-timings: one exchange over h11 136 us, one frame 20 us, reading a call 9 us, of the module _over_share, locate and _place 23% of all time; asyncio's own transports 10%.

--- a/applehub/__main__.py
+++ b/applehub/__main__.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 
 import orjson
+import uvloop
 
 from applehub.interface import Settings
 from applehub.logic import Balancer
@@ -145,7 +146,8 @@
     try:
         told = read_configuration(path)
         gc.freeze()
-        asyncio.run(serve(told, path))
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            runner.run(serve(told, path))
     except ConfigurationError as problem:
         print(f"applehub: {problem}", file=sys.stderr)
         return 2
--- a/applehub/logic.py
+++ b/applehub/logic.py
@@ -29,6 +29,7 @@
 UNKNOWN = 63  # the age of keys that are not remembered
 ENOUGH = 4  # likely misses whose fate tells a healthy origin
 TAIL = 1 / 16  # part of its likely misses that even a healthy origin may answer slowly
+PART_KEPT = 10_000_000  # ns for which this router's part of the traffic is taken as known
 SMOOTHING = 1 / 8  # weight of the newest sample in a moving average
 
 
@@ -261,12 +262,14 @@
     def __init__(self, turn: int) -> None:
         self.turn = max(1, turn)
         self.deals: list[tuple[int, list[str]]] = [(0, [])]
+        self.chains: dict[tuple[str, int], list[str]] = {}  # by owner and place in the newest deal
 
     def deal(self, now: int, names: list[str]) -> None:
         """Notes a new list; deals that every key has left behind are forgotten."""
         if names == self.deals[-1][1]:
             return
         self.deals.append((now, names))
+        self.chains = {}
         done = max(n for n, (since, _) in enumerate(self.deals) if n < 1 or since <= now - self.turn)
         self.deals = self.deals[max(done, not self.deals[0][1]) :][-DEALS_KEPT:]
 
@@ -277,8 +280,12 @@
         at = now - (now - ((code & 0xFFFF) * self.turn >> 16)) % self.turn
         held = next((names for since, names in reversed(self.deals) if since <= at), self.deals[0][1])
         start, depth = divmod(code * len(order), 1 << 32)
-        owner = held[code * len(held) >> 32 :][:1]
-        return depth / 2**32, at, list(dict.fromkeys(owner + order[start:] + order[:start]))
+        owner = held[code * len(held) >> 32] if held else ""
+        chain = self.chains.get((owner, start))
+        if chain is None:
+            whole = [owner] * bool(held) + order[start:] + order[:start]
+            chain = self.chains[owner, start] = list(dict.fromkeys(whole))
+        return depth / 2**32, at, chain
 
 
 class Popularity:
@@ -345,6 +352,7 @@
         self.flow = Rate(4 * self.shortest_aim)
         self.shares = [Rate(4 * self.shortest_aim) for _ in settings.tenants]
         self.banks = [Bank() for _ in settings.tenants]
+        self.part, self.part_until = 0.0, 0  # this router's part of the traffic, and until when it holds
         self.reads: dict[tuple[str, int], tuple[int, int]] = {}  # likely misses out: sent, slow from
         self.fetches: dict[str, list[Job]] = {}  # keys being read from the origin, and who waits for them
         self.agenda: list[tuple[int, int, Callable[[Job | None], None], Job | None]] = []
@@ -474,9 +482,11 @@
             return False
         if not event.repeat:
             self.shares[event.tenant].add(self.now)
-        both = zip(self.shares, quotas, strict=True)
-        used = sorted(rate.per_second(self.now) / one.quota for rate, one in both if one.quota)
-        rate = quotas[event.tenant].quota * max(1 / self.settings.balancers, used[(len(used) - 1) // 2])
+        if self.now >= self.part_until:
+            both = zip(self.shares, quotas, strict=True)
+            used = sorted(rate.per_second(self.now) / one.quota for rate, one in both if one.quota)
+            self.part, self.part_until = used[(len(used) - 1) // 2], self.now + PART_KEPT
+        rate = quotas[event.tenant].quota * max(1 / self.settings.balancers, self.part)
         return not self.banks[event.tenant].take(self.now, rate, max(LEAST_TOTAL, rate))
 
     def _join(self, job: Job) -> bool:
@@ -559,7 +569,9 @@
         hops = passed = 0
         depth, taken_up, names = self.ranges.locate(job.request.key or job.request.id, self.now)
         near = [self.servers[name] for name in names if name in self.servers]
-        near, owner = near[job.skip :] + near[: job.skip], names[0] if names else ""
+        owner = names[0] if names else ""
+        if job.skip:
+            near = near[job.skip :] + near[: job.skip]
         if self.crowded > 1 / 2:
             # Guards against full connection tables: while most connects are refused, those there are do.
             near.sort(key=lambda server: not server.linked)
@@ -569,13 +581,11 @@
             warm = taken_up if name == owner else self.now - self.settings.ramp_time
             if name in job.tried or server.cold_since > max(0, warm):
                 continue
-            # Guards against hot keys that a warming server takes up: it gets half the mean flow at the most.
-            rate = self.flow.per_second(self.now) / len(near) / 2
-            warming = 0 < server.cold_since > self.now - self.settings.ramp_time
-            if warming and not server.budget.take(
-                self.now, rate, rate * self.settings.fall_time / SECOND / 4
-            ):
-                continue
+            if 0 < server.cold_since > self.now - self.settings.ramp_time:
+                # Guards against hot keys that a warming server takes up: it gets half the mean flow at most.
+                rate = self.flow.per_second(self.now) / len(near) / 2
+                if not server.budget.take(self.now, rate, rate * self.settings.fall_time / SECOND / 4):
+                    continue
             # Guards against a range that is more than its server bears: the far end passes to the next.
             if not server.open(self.now) or (passed < 2 and depth >= server.share * server.size):
                 passed += server.fails == 0
--- a/applehub/node/clients.py
+++ b/applehub/node/clients.py
@@ -91,7 +91,7 @@
 
     def pause_writing(self) -> None:
         self.blocked = True
-        self.stuck = asyncio.get_running_loop().call_later(STUCK, self.abort)
+        self.stuck = self.server.loop.call_later(STUCK, self.abort)
         self._steer()
 
     def resume_writing(self) -> None:
@@ -129,7 +129,7 @@
             if turn == 0 and self.frames.buffer and not self.yielding:
                 # Guards the others against a client that sends hundreds of commands at once.
                 self.yielding = True
-                asyncio.get_running_loop().call_soon(self._again)
+                self.server.loop.call_soon(self._again)
             self._steer()
 
     def _again(self) -> None:
@@ -149,7 +149,7 @@
         self._steer()
         if self.transport.can_write_eof() and not self.transport.is_closing():
             self.transport.write_eof()
-        asyncio.get_running_loop().call_later(LINGER, self.abort)
+        self.server.loop.call_later(LINGER, self.abort)
 
     def _take_up(self, most: int) -> int:
         """Takes up the commands that have come, as many as may be in work at once; how many these were."""
@@ -267,6 +267,7 @@
 
     def __init__(self, driver: Driver, names: Names, most: int, most_buffered: int) -> None:
         self.driver, self.names, self.most, self.most_buffered = driver, names, most, most_buffered
+        self.loop = asyncio.get_running_loop()
         self.open: set[Client] = set()
         # Since when each has a command on its way or has been idle, and who lingers; longest first.
         self.awaited: dict[Client, float] = {}
@@ -280,10 +281,11 @@
         self._server: asyncio.Server | None = None
 
     async def listen(self, host: str, port: int) -> tuple[str, int]:
-        loop = asyncio.get_running_loop()
         listener = socket.create_server((host, port))
         # What is accepted in a turn is bounded by the backlog given here; the system's own is set anew.
-        self._server = await loop.create_server(lambda: Client(self), sock=listener, backlog=MOST_ACCEPTED)
+        self._server = await self.loop.create_server(
+            lambda: Client(self), sock=listener, backlog=MOST_ACCEPTED
+        )
         listener.listen(1024)
         address: tuple[str, int] = listener.getsockname()[:2]
         return address
@@ -293,10 +295,10 @@
         if len(self.open) >= self.most and not self._make_room():
             return False
         self.open.add(client)
-        self.awaited[client] = asyncio.get_running_loop().time()
+        self.awaited[client] = self.loop.time()
         if not self.sweeping:
             self.sweeping = True
-            asyncio.get_running_loop().call_later(SWEEP, self._sweep)
+            self.loop.call_later(SWEEP, self._sweep)
         return True
 
     def _make_room(self) -> bool:
@@ -306,7 +308,7 @@
             client.abort()
             self.gone(client)
             return True
-        before = asyncio.get_running_loop().time() - SPARED
+        before = self.loop.time() - SPARED
         for group in (self.awaited, self.idle):
             for client, since in group.items():
                 if since > before:
@@ -325,29 +327,32 @@
 
     def place(self, client: Client) -> None:
         """Notes what a connection waits for."""
-        now = asyncio.get_running_loop().time()
-        waits = not client.last and not client.blocked and not client.yielding
-        coming = waits and len(client.slots) < MOST_PIPELINED and (client.frames.buffer or not client.spoke)
-        idle = waits and not coming and not client.slots
-        for group, belongs in ((self.awaited, coming), (self.idle, idle), (self.lingering, client.lingering)):
-            if belongs:
-                group.setdefault(client, now)
-            else:
-                group.pop(client, None)
+        waits = not (client.last or client.blocked or client.yielding)
+        if waits and len(client.slots) < MOST_PIPELINED and (client.frames.buffer or not client.spoke):
+            self.idle.pop(client, None)
+            self.awaited.setdefault(client, self.loop.time())
+        elif waits and not client.slots:
+            self.awaited.pop(client, None)
+            self.idle.setdefault(client, self.loop.time())
+        else:
+            self.awaited.pop(client, None)
+            self.idle.pop(client, None)
+            if client.lingering:
+                self.lingering[client] = self.loop.time()
 
     def _sweep(self) -> None:
         """Guards against clients that connect and say nothing, stop half-way or dribble."""
-        now = asyncio.get_running_loop().time()
+        now = self.loop.time()
         for client in [one for one, since in self.awaited.items() if since < now - UNFINISHED]:
             client.overdue()
         self.sweeping = bool(self.open)
         if self.sweeping:
-            asyncio.get_running_loop().call_later(SWEEP, self._sweep)
+            self.loop.call_later(SWEEP, self._sweep)
 
     def count(self, what: str) -> None:
         """Counts what clients did wrong: one line now and then, however many they are."""
         if not self.told:
-            asyncio.get_running_loop().call_later(TOLD_EVERY, self._tell)
+            self.loop.call_later(TOLD_EVERY, self._tell)
         self.told[what] += 1
 
     def _tell(self) -> None:
--- a/applehub/node/discovery.py
+++ b/applehub/node/discovery.py
@@ -153,10 +153,6 @@
         if answer is not None:
             self.answer.set_result(answer)
 
-    def eof_received(self) -> None:
-        if self.answer is not None and not self.answer.done():
-            self.data_received(b"")
-
     def connection_lost(self, exc: Exception | None) -> None:
         self.transport = None
         if self.answer is not None and not self.answer.done():
--- a/applehub/node/http1.py
+++ b/applehub/node/http1.py
@@ -2,7 +2,9 @@
 
 from dataclasses import dataclass, field
 
-import h11
+import httptools
+
+MOST_HEAD = 16 << 10  # bytes of header lines, of all 1xx answers ahead too
 
 
 class HttpError(ValueError):
@@ -13,20 +15,24 @@
 class Answer:
     """A whole answer; header names are in lower case."""
 
-    status: int
-    headers: dict[bytes, bytes]
+    status: int = 0
+    headers: dict[bytes, bytes] = field(default_factory=dict)
     body: bytearray = field(default_factory=bytearray)
 
 
 class Http:
-    """The client's side of one connection."""
+    """The client's side of one connection. The methods that begin with on_ are the parser's."""
 
-    __slots__ = ("answer", "connection", "host", "most")
+    __slots__ = ("answer", "complete", "dirty", "host", "keep", "most", "parser", "taken")
 
     def __init__(self, host: str, most: int) -> None:
-        self.connection = h11.Connection(h11.CLIENT)
         self.host, self.most = host.encode(), most
-        self.answer: Answer | None = None
+        self.dirty = False  # more came than belongs to an answer
+        self._begin()
+
+    def _begin(self) -> None:
+        self.parser = httptools.HttpResponseParser(self)
+        self.answer, self.complete, self.keep, self.taken = Answer(), False, False, 0
 
     def request(
         self,
@@ -36,52 +42,66 @@
         body: bytes | None = None,
     ) -> bytes:
         """The bytes of a request."""
-        all_headers = [(b"Host", self.host), *(headers or [])]
+        lines = [b"%b %b HTTP/1.1\r\nHost: %b\r\n" % (method, target, self.host)]
+        lines += [b"%b: %b\r\n" % header for header in headers or ()]
         if body is not None:
-            all_headers.append((b"Content-Length", b"%d" % len(body)))
-        send = self.connection.send
-        parts = [send(h11.Request(method=method, target=target, headers=all_headers))]
-        if body:
-            parts.append(send(h11.Data(data=body)))
-        parts.append(send(h11.EndOfMessage()))
-        return b"".join(part for part in parts if part)
+            lines.append(b"Content-Length: %d\r\n" % len(body))
+        return b"".join([*lines, b"\r\n", body or b""])
 
     def receive(self, data: bytes) -> Answer | None:
-        """Takes in what came, nothing at the end of the stream; gives the answer once it is whole."""
+        """Takes in what came; gives the answer once it is whole."""
+        # Guards memory and time against an answer that has no end: of headers, of parts or of 1xx answers.
+        self.taken += len(data)
+        over = self.taken > self.most + 2 * MOST_HEAD
         try:
-            self.connection.receive_data(data)
-            while True:
-                event = self.connection.next_event()
-                if isinstance(event, h11.Response):
-                    self.answer = Answer(event.status_code, dict(event.headers))
-                    self._check_length(self.answer.headers)
-                elif isinstance(event, h11.Data) and self.answer is not None:
-                    self.answer.body += event.data
-                    if len(self.answer.body) > self.most:
-                        raise HttpError("answer too large")
-                elif isinstance(event, h11.EndOfMessage):
-                    return self.answer
-                elif not isinstance(event, h11.InformationalResponse):
-                    return None  # more is needed, or the stream has ended
-        except h11.RemoteProtocolError as problem:
-            raise HttpError(str(problem)) from None
-
-    def _check_length(self, headers: dict[bytes, bytes]) -> None:
+            self.parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as problem:
+            if not self.complete:
+                raise HttpError(f"{type(problem).__name__}: {problem.__context__ or problem}") from None
+            self.dirty = True  # the answer stands; what follows it is noise
+        if self.complete:
+            self.dirty = self.dirty or over
+            return self.answer
+        if over:
+            raise HttpError("answer too large")
+        return None
+
+    def next_cycle(self) -> bool:
+        """Makes ready for another request; whether the connection can carry one."""
+        fit = self.complete and self.keep and not self.dirty
+        self._begin()
+        return fit
+
+    def on_message_begin(self) -> None:
+        self.dirty = self.dirty or self.complete
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if not self.complete:
+            self.answer.headers[name.lower()] = value
+
+    def on_headers_complete(self) -> None:
         """Guards against an answer cut short, which would pass for whole if only a close ended it, and
         against a length that is huge: it is known before any of it has come."""
+        if self.complete:
+            return
+        self.answer.status, headers = self.parser.get_status_code(), self.answer.headers
+        if self.answer.status < 200:
+            return
+        self.keep = bool(self.parser.should_keep_alive())
         length = headers.get(b"content-length")
-        if length is None and b"transfer-encoding" not in headers:
+        if length is None and b"chunked" not in headers.get(b"transfer-encoding", b""):
             raise HttpError("answer of no told length")
-        if length is not None and int(length) > self.most:
+        if length is not None and not (length.isdigit() and len(length) < 11 and int(length) <= self.most):
             raise HttpError("answer too large")
 
-    def next_cycle(self) -> bool:
-        """Makes ready for another request; whether the connection can carry one."""
-        self.answer = None
-        if self.connection.trailing_data[0]:
-            return False
-        try:
-            self.connection.start_next_cycle()
-        except h11.LocalProtocolError:
-            return False
-        return True
+    def on_body(self, body: bytes) -> None:
+        if not self.complete:
+            self.answer.body += body
+            if len(self.answer.body) > self.most:
+                raise HttpError("answer too large")
+
+    def on_message_complete(self) -> None:
+        if self.answer.status < 200:
+            self.answer = Answer()  # one ahead of the answer
+        else:
+            self.complete = True
--- a/applehub/node/pool.py
+++ b/applehub/node/pool.py
@@ -4,6 +4,7 @@
 import contextlib
 import errno
 import logging
+import os
 import select
 import socket
 from abc import abstractmethod
@@ -25,10 +26,19 @@
 def readable(transport: asyncio.Transport) -> bool:
     """Whether something has come on a connection, or its end, that was not read yet."""
     poller = select.poll()
-    poller.register(transport.get_extra_info("socket"), select.POLLIN)
+    poller.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
     return bool(poller.poll(0))
 
 
+def shut(transport: asyncio.Transport) -> None:
+    """Has the system end a connection at once, in both directions."""
+    with (
+        contextlib.suppress(OSError),
+        socket.socket(fileno=os.dup(transport.get_extra_info("socket").fileno())) as twin,
+    ):
+        twin.shutdown(socket.SHUT_RDWR)
+
+
 class Connection(asyncio.Protocol):
     """A connection that carries one attempt at a time and tells how it ended."""
 
@@ -80,8 +90,7 @@
             if self.dialling is not None:
                 self.dialling.cancel()
             return
-        with contextlib.suppress(OSError):
-            self.transport.get_extra_info("socket").shutdown(socket.SHUT_RDWR)
+        shut(self.transport)
         self.transport.abort()
 
     def finish(self, ending: Ending, reusable: bool = True) -> None:
--- a/applehub/node/resp.py
+++ b/applehub/node/resp.py
@@ -6,6 +6,7 @@
 MOST_LINE = 1024
 MOST_HEAD = 16  # bytes of a line that tells a length
 MOST_ITEMS = 8
+PLAIN = 4096  # bytes of a value that may be read in the plain way
 MOST_FRAME = 5 * MOST_VALUE  # a write has four large parts at the most
 ANSWER_ITEMS = 3  # the value, how it went, the load report
 WAITING = object()  # no whole value has come yet
@@ -56,6 +57,8 @@
 
     def next(self) -> object:
         """The next command or answer as a list, an error line as bytes, or WAITING."""
+        if not self.at and len(self.buffer) < PLAIN and (parts := self._plain()):
+            return parts
         while self.missing:
             if not self._measure():
                 return WAITING
@@ -69,6 +72,28 @@
         self.reader.feed(whole)
         return self.reader.gets()
 
+    def _plain(self) -> list[bytes | None] | None:
+        """The one value that has come, whole and with nothing behind it, if it is as simple as most are. Each
+        head must be what is written for the string behind it, so that this is how it reads in any case."""
+        lines = bytes(self.buffer).split(b"\r\n")
+        many = ANSWER_ITEMS if self.answers else (len(lines) - 2) // 2
+        if lines.pop() != b"" or not 0 < many <= MOST_ITEMS or lines[0] != b"*%d" % many:
+            return None
+        parts: list[bytes | None] = []
+        heads = iter(lines[1:])
+        for head in heads:
+            if head == b"$-1" and self.answers:
+                parts.append(None)
+                continue
+            part = next(heads, None)
+            if part is None or head != b"$%d" % len(part):
+                return None
+            parts.append(part)
+        if len(parts) != many:
+            return None
+        self.buffer.clear()
+        return parts
+
     def _measure(self) -> bool:
         """Steps over the head of an array, a string in it, or an error line; whether it was there."""
         buffer, at = self.buffer, self.at
