Go elsewhere from a connection that fell silent, and blame no server for it

Temporary log lines at each end of an attempt: 938 time-outs in 25 s, no failed connect or reset, 6,830 refusals of 7,423 at one router before any attempt, in a world of 13 ms answers. Ruled out: CPU (0.53 s in a second), dials (250 ms, none failed), the throttle. Cause: each silent connection waited 660 ms, the whole deadline (_send: timeout = left), was then learnt with weight up to 1/2 as the server's answer time (_observe) and kept its range refused for half a second; the attempt after it had 0.2 ms left, and that was learnt as a quick answer. Change: a first attempt waits 8 expected answer times, a quarter of the aim at least, while its server bears its whole range; a time-out that a later request's answer refutes is set aside; no attempt that cannot be answered in time.

--- a/applehub/logic.py
+++ b/applehub/logic.py
@@ -29,6 +29,7 @@
 UNKNOWN = 63  # the age of keys that are not remembered
 ENOUGH = 4  # likely misses whose fate tells a healthy origin
 TAIL = 1 / 16  # part of its likely misses that even a healthy origin may answer slowly
+PATIENCE = 8  # expected answer times that a first attempt waits; a mean there leaves e^-8 without its answer
 PART_KEPT = 10_000_000  # ns for which this router's part of the traffic is taken as known
 SMOOTHING = 1 / 8  # weight of the newest sample in a moving average
 
@@ -195,6 +196,7 @@
     held: float = 1.0  # moving average of the attempts this router had out meanwhile
     out: int = 0
     sent_at: int = 0
+    proved_at: int = 0  # when the latest attempt was sent that it has answered
     fails: int = 0  # connections failed or broken in a row
     down_since: int = 0
     down_until: int = 0
@@ -607,6 +609,11 @@
             # Guards against an origin slower than an aim: a read given up fills no cache for those after it.
             # Guards against a jam fed by second tries: what still earns something late is waited for.
             timeout = left if read or job.spec.late_worth else min(left, job.due - self.now)
+            if not job.made and not job.at_origin and server.share >= 1:
+                # Guards against a connection that fell silent: an answer far later than is usual here is not
+                # waited for. The wait grows with the server's answer times, and at one that was slow lately
+                # it is the whole, so that a jam is not fed.
+                timeout = min(timeout, max(job.spec.aim // 4, int(PATIENCE * server.predict())))
         server.out += 1
         server.sent_at = self.now
         job.live[job.made] = (server, self.now)
@@ -623,7 +630,8 @@
 
     def _may_send(self, job: Job, server: Server) -> bool:
         """Rules 1 and 2: whether this attempt is allowed, by what the earlier ones proved."""
-        if job.made >= self.settings.max_attempts or self.now >= job.request.deadline:
+        # Guards against a last attempt that no server could answer in time, and whose end would tell nothing.
+        if job.made >= self.settings.max_attempts or self.now + server.base / 2 >= job.request.deadline:
             return False
         if job.spec.effect is api.Effect.SAFE or not job.live:
             return True
@@ -742,7 +750,14 @@
         # Guards against a swamped server whose keys went elsewhere: a trial that misses tells as well.
         full, missed = status is api.Status.FULL, status is api.Status.MISS
         elapsed = self.shortest_aim if full else event.elapsed  # a quick "full" proves no quick server
-        if full or status in (api.Status.OK, api.Status.TIMEOUT) or (missed and server.trial):
+        answered, sent = status in (api.Status.OK, api.Status.MISS), self.now - event.elapsed
+        if answered:
+            server.proved_at = max(server.proved_at, sent)
+        # Guards against one connection that fell silent taken for a swamped server: who has answered what
+        # was sent later is none. Nor does a time-out tell of an answer time below what was waited.
+        lone = server.proved_at > sent or event.elapsed < server.latency
+        silent = status is api.Status.TIMEOUT and not lone
+        if full or silent or status is api.Status.OK or (missed and server.trial):
             server.learn(self.now, 2 * self.shortest_aim, elapsed, server.out + 1)
-        if full or missed or status in (api.Status.OK, api.Status.TIMEOUT):
+        if full or silent or answered:
             server.bear(self.now, event.elapsed, elapsed > self.shortest_aim // 2)
--- a/tests/test_found.py
+++ b/tests/test_found.py
@@ -10,11 +10,67 @@
 def test_what_still_earns_something_late_is_waited_for() -> None:
     """Kochi's retry storm: reads sent again half-way to their deadline doubled the work in a jam."""
     router = Router()
+    for one in router.balancer.servers.values():
+        one.share = 3 / 4  # slow lately
     _, (send,) = router.ask("k")
     assert isinstance(send, api.Send)
     assert send.timeout == 2 * SECOND
 
 
+def quick(router: Router) -> list[str]:
+    """Keys that one quick server holds, among many."""
+    held = {f"q{n}": router.serve(f"q{n}") for n in range(24)}
+    for one in router.balancer.servers.values():
+        one.latency, one.base, one.share = 20.0 * MILLI, 20.0 * MILLI, 1.0
+    return [key for key in held if held[key] == held["q0"] == router.candidates(key)[0].member.server]
+
+
+def test_a_first_attempt_waits_for_some_answer_times_and_the_next_for_as_long_as_it_may() -> None:
+    """Connections that fell silent cost the whole deadline, 660 ms where 13 are usual."""
+    router = Router()
+    _, (send,) = router.ask(quick(router)[0])
+    assert isinstance(send, api.Send)
+    assert send.timeout == SECOND // 4
+    router.now += send.timeout
+    (again,) = router.end(send, api.Status.TIMEOUT, elapsed=send.timeout)
+    assert isinstance(again, api.Send) and again.server != send.server
+    assert again.timeout == 2 * SECOND - send.timeout
+
+
+def test_one_silent_connection_is_no_swamped_server() -> None:
+    """Each was learnt as an answer of 660 ms, and the server's range refused until trials had undone it."""
+    router = Router()
+    first, second, third = quick(router)[:3]
+    _, (lost,) = router.ask(first)
+    router.now += 10 * MILLI
+    _, (later,) = router.ask(second)
+    assert isinstance(lost, api.Send) and isinstance(later, api.Send) and lost.server == later.server
+    server = router.balancer.servers[lost.server]
+    router.now += 20 * MILLI
+    router.end(later, api.Status.OK, elapsed=20 * MILLI)
+    before = server.latency
+    router.now += SECOND
+    router.end(lost, api.Status.TIMEOUT, elapsed=SECOND + 30 * MILLI)
+    assert server.latency == before and server.share == 1.0
+    _, (lost,) = router.ask(third)
+    assert isinstance(lost, api.Send) and lost.server == later.server
+    router.now += SECOND
+    router.end(lost, api.Status.TIMEOUT, elapsed=SECOND)
+    assert server.latency > 2 * before  # nothing sent later was answered
+
+
+def test_no_attempt_is_made_that_no_server_could_answer_in_time() -> None:
+    """After a time-out at the deadline another attempt went out, and its end after 0.2 ms was learnt."""
+    router = Router()
+    router.serve("k")
+    for one in router.balancer.servers.values():
+        one.base = 20.0 * MILLI
+    _, (send,) = router.ask("k")
+    router.now += 2 * SECOND - MILLI
+    (answer,) = router.end(send, api.Status.TIMEOUT, elapsed=2 * SECOND - MILLI)
+    assert isinstance(answer, api.Refuse)
+
+
 def test_a_hot_key_takes_as_many_ranges_as_it_fills() -> None:
     """Malabar at full size: one key was 7% of all requests, five servers' fair shares, on one server."""
     popularity = Popularity()
--- a/tests/test_hostile.py
+++ b/tests/test_hostile.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 import pytest
-from peers import FETCHED, MISS, Bench, entry, hit, http, info, router, soon
+from peers import FETCHED, MISS, Bench, Cache, Web, entry, hit, http, info, router, soon
 
 from applehub.node import clients, pool, resp
 from applehub.node.call import CallError, read_call
@@ -372,3 +372,30 @@
         assert not pool.readable(Bare(one))  # type: ignore[arg-type]
         other.shutdown(socket.SHUT_RDWR)
         assert pool.readable(Bare(one))  # type: ignore[arg-type]
+
+
+async def test_a_connection_that_falls_silent_costs_no_more_than_a_try() -> None:
+    """The request waited there until its time was up."""
+    other = Cache(lambda asked, line: hit(b"other"))
+    await other.start()
+
+    def entries(cache: Cache, origin: Web) -> list[dict[str, Any]]:
+        return [
+            entry("c0", cache.address),
+            entry("c1", other.address),
+            entry("o", origin.address, model="origin"),
+        ]
+
+    async with router(lambda asked, line: None, entries=entries) as bench:
+        for one in bench.driver.balancer.servers.values():
+            one.latency = one.base = 1e7
+        caller = await bench.caller()
+        names = [b"k%d" % n for n in range(40)]
+        crossed = next(
+            key for key in names if bench.driver.balancer.ranges.locate(key.decode(), 0)[2][0] == "c0"
+        )
+        caller.get(crossed)
+        assert await caller.answer() == b"other"
+        assert len(bench.cache.got) == len(other.got) == 1
+        await soon(lambda: bench.cache.ended == 1)
+    await other.stop()
