--- a/applehub/__main__.py
+++ b/rainhitch/__main__.py
@@ -11,13 +11,13 @@
 import orjson
 import uvloop
 
-from applehub.interface import Settings
-from applehub.logic import Balancer
-from applehub.node.clients import Clients
-from applehub.node.discovery import Directory, ListError, Watch, read_endpoint
-from applehub.node.driver import Driver
-from applehub.node.pool import Endpoint, Pools
-from applehub.settings import (
+from rainhitch.interface import Settings
+from rainhitch.logic import Balancer
+from rainhitch.node.clients import Clients
+from rainhitch.node.discovery import Directory, ListError, Watch, read_endpoint
+from rainhitch.node.driver import Driver
+from rainhitch.node.pool import Endpoint, Pools
+from rainhitch.settings import (
     Ceilings,
     Json,
     Names,
@@ -33,7 +33,7 @@
 PROGRAM = 24 << 20  # bytes that the router takes with next to nothing to do
 SPARE = 24  # descriptors for all that is neither a client's nor a server's
 SOON = 16  # connections to servers that may be wanted before clients have made room
-log = logging.getLogger("applehub")
+log = logging.getLogger("rainhitch")
 
 
 class ConfigurationError(ValueError):
@@ -156,7 +156,7 @@
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
             runner.run(serve(told, path))
     except ConfigurationError as problem:
-        print(f"applehub: {problem}", file=sys.stderr)
+        print(f"rainhitch: {problem}", file=sys.stderr)
         return 2
     return 0
 
--- a/applehub/logic.py
+++ b/rainhitch/logic.py
@@ -1,4 +1,4 @@
-"""Every decision of one router. Its settings, events and actions: applehub/interface.py.
+"""Every decision of one router. Its settings, events and actions: rainhitch/interface.py.
 
 Requests likely to miss spend tokens of Berger's rate-control throttle, which shields the shared
 origin; keys follow equal hash ranges over the sorted server list. docs/design.md tells the rest.
@@ -11,7 +11,7 @@
 from dataclasses import dataclass, field
 from zlib import crc32
 
-from applehub import interface as api
+from rainhitch import interface as api
 
 SECOND = 1_000_000_000
 LEAST_TOTAL = 10  # Berger: from C_J + C_T = 10 on, output hardly feels arrival rates above r
--- a/applehub/node/caches.py
+++ b/rainhitch/node/caches.py
@@ -3,10 +3,10 @@
 import re
 import time
 
-from applehub.interface import Status
-from applehub.node import resp
-from applehub.node.call import Ending, Exchange
-from applehub.node.pool import Connection, Pool
+from rainhitch.interface import Status
+from rainhitch.node import resp
+from rainhitch.node.call import Ending, Exchange
+from rainhitch.node.pool import Connection, Pool
 
 NOTES = {b"hit": 1, b"miss": 2, b"pending": 3}
 
--- a/applehub/node/call.py
+++ b/rainhitch/node/call.py
@@ -4,8 +4,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from applehub.interface import Effect, Status
-from applehub.settings import Names
+from rainhitch.interface import Effect, Status
+from rainhitch.settings import Names
 
 PLAIN = re.compile(rb"[!-~]+")  # fit for a list of names and values, and for an HTTP header
 MOST_NAME = 256  # bytes of a key, which the decisions remember, or of an id
--- a/applehub/node/clients.py
+++ b/rainhitch/node/clients.py
@@ -8,11 +8,11 @@
 from collections.abc import Callable
 from typing import cast
 
-from applehub.node import resp
-from applehub.node.call import CallError, read_call
-from applehub.node.driver import Driver, Held
-from applehub.node.pool import readable
-from applehub.settings import Names
+from rainhitch.node import resp
+from rainhitch.node.call import CallError, read_call
+from rainhitch.node.driver import Driver, Held
+from rainhitch.node.pool import readable
+from rainhitch.settings import Names
 
 MOST_PIPELINED = 32  # commands of one connection in work; those behind wait unread
 MOST_IN_A_TURN = 16  # commands of one connection taken up before others have their turn
@@ -25,7 +25,7 @@
 SMALL = 1024  # bytes of an answer that is kept whatever else is
 SWEEP = 0.2
 TOLD_EVERY = 10.0  # s between lines on what clients did wrong
-log = logging.getLogger("applehub")
+log = logging.getLogger("rainhitch")
 
 
 class Slot:
--- a/applehub/node/discovery.py
+++ b/rainhitch/node/discovery.py
@@ -10,19 +10,19 @@
 
 import orjson
 
-from applehub import interface as api
-from applehub.node.caches import CacheConnection
-from applehub.node.http1 import Answer, Http, HttpError
-from applehub.node.origin import OriginConnection
-from applehub.node.pool import Endpoint, Pools
-from applehub.settings import Json, Names
+from rainhitch import interface as api
+from rainhitch.node.caches import CacheConnection
+from rainhitch.node.http1 import Answer, Http, HttpError
+from rainhitch.node.origin import OriginConnection
+from rainhitch.node.pool import Endpoint, Pools
+from rainhitch.settings import Json, Names
 
 HOLD = 5.0  # s that a watch may be held; one that is silent for longer has failed
 PATIENCE = 2.0  # s for an answer that need not wait
 FIRST_PAUSE, MOST_PAUSE = 0.05, 1.0  # s between failed calls
 MOST_LIST = 1 << 20  # bytes; memory is small, and an entry has some 150
 STATES = {"Ready": api.State.READY, "Terminating": api.State.DRAINING, "Gone": api.State.GONE}
-log = logging.getLogger("applehub")
+log = logging.getLogger("rainhitch")
 
 
 class ListError(ValueError):
--- a/applehub/node/driver.py
+++ b/rainhitch/node/driver.py
@@ -7,16 +7,16 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from applehub import interface as api
-from applehub.logic import Balancer
-from applehub.node import resp
-from applehub.node.call import Call, Ending, Exchange
-from applehub.node.pool import Connection, Pools
+from rainhitch import interface as api
+from rainhitch.logic import Balancer
+from rainhitch.node import resp
+from rainhitch.node.call import Call, Ending, Exchange
+from rainhitch.node.pool import Connection, Pools
 
 MILLI = 1_000_000
 SECOND = 1_000_000_000
 WAY_BACK = 8 * MILLI  # kept of a client's time so that the last answer reaches it before it leaves
-log = logging.getLogger("applehub")
+log = logging.getLogger("rainhitch")
 
 
 @dataclass(slots=True, eq=False)
--- a/applehub/node/origin.py
+++ b/rainhitch/node/origin.py
@@ -2,11 +2,11 @@
 
 from urllib.parse import quote_from_bytes
 
-from applehub.interface import Status
-from applehub.node.call import Ending, Exchange
-from applehub.node.http1 import Answer, Http, HttpError
-from applehub.node.pool import Connection, Pool
-from applehub.node.resp import MOST_VALUE
+from rainhitch.interface import Status
+from rainhitch.node.call import Ending, Exchange
+from rainhitch.node.http1 import Answer, Http, HttpError
+from rainhitch.node.pool import Connection, Pool
+from rainhitch.node.resp import MOST_VALUE
 
 
 def ending_of(answer: Answer) -> Ending | None:
--- a/applehub/node/pool.py
+++ b/rainhitch/node/pool.py
@@ -11,8 +11,8 @@
 from collections.abc import Callable
 from typing import cast
 
-from applehub.interface import Status
-from applehub.node.call import Ending, Exchange
+from rainhitch.interface import Status
+from rainhitch.node.call import Ending, Exchange
 
 IDLE_MOST = 10.0  # s after which an idle connection is surplus: it costs more than opening one anew
 IDLE_PART = 0.8  # of the server's keepalive: closed well before the server does
@@ -20,7 +20,7 @@
 SWEEP = 1.0
 OUR_OWN = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)
 Endpoint = tuple[str, int]
-log = logging.getLogger("applehub")
+log = logging.getLogger("rainhitch")
 
 
 def readable(transport: asyncio.Transport) -> bool:
--- a/applehub/settings.py
+++ b/rainhitch/settings.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from applehub import interface as io
+from rainhitch import interface as io
 
 FLEET_MODES = ("pushed", "on_request")
 CACHE_MODES = ("through", "aside")
--- a/applehub/wirehost.py
+++ b/rainhitch/wirehost.py
@@ -7,9 +7,9 @@
 
 import orjson
 
-from applehub import interface as io
-from applehub.logic import Balancer
-from applehub.settings import Json, SettingError, read_settings
+from rainhitch import interface as io
+from rainhitch.logic import Balancer
+from rainhitch.settings import Json, SettingError, read_settings
 
 STATUS = {
     "completed": io.Status.OK,
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -8,12 +8,12 @@
 
 import hiredis
 
-from applehub.node.clients import Clients
-from applehub.node.discovery import Directory
-from applehub.node.driver import Driver
-from applehub.node.pool import Pools
-from applehub.node.resp import command
-from applehub.settings import read_ceilings, read_names, read_settings
+from rainhitch.node.clients import Clients
+from rainhitch.node.discovery import Directory
+from rainhitch.node.driver import Driver
+from rainhitch.node.pool import Pools
+from rainhitch.node.resp import command
+from rainhitch.settings import read_ceilings, read_names, read_settings
 
 PATIENCE = 20.0  # s; every wait of these tests is on an event, and this long at the most
 Json = dict[str, Any]
@@ -204,7 +204,7 @@
     **ceilings: Any,
 ) -> AsyncIterator[Bench]:
     """One router with one cache server and one origin, wired as the program does it."""
-    from applehub.logic import Balancer
+    from rainhitch.logic import Balancer
 
     peers = Cache(cache), Web(origin)
     for peer in peers:
--- a/tests/support.py
+++ b/tests/support.py
@@ -1,7 +1,7 @@
 """Small helpers of the tests: settings, events and a router driven step by step."""
 
-from applehub import interface as api
-from applehub.logic import Balancer, Server
+from rainhitch import interface as api
+from rainhitch.logic import Balancer, Server
 
 SECOND = 1_000_000_000
 MILLI = 1_000_000
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -12,11 +12,11 @@
 import pytest
 from peers import PATIENCE, Cache, Caller, Web, entry, hit, http, info, router, soon
 
-from applehub import interface as api
-from applehub.node import discovery, pool
-from applehub.node.discovery import Directory, ListError, Watch
-from applehub.node.pool import Pools
-from applehub.settings import read_names
+from rainhitch import interface as api
+from rainhitch.node import discovery, pool
+from rainhitch.node.discovery import Directory, ListError, Watch
+from rainhitch.node.pool import Pools
+from rainhitch.settings import read_names
 
 ROOT = Path(__file__).parent.parent
 
@@ -185,7 +185,7 @@
 
 async def program(env: dict[str, str]) -> asyncio.subprocess.Process:
     return await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "applehub", env=env, cwd=ROOT, stderr=asyncio.subprocess.PIPE
+        sys.executable, "-m", "rainhitch", env=env, cwd=ROOT, stderr=asyncio.subprocess.PIPE
     )
 
 
@@ -205,7 +205,7 @@
     running = await program(configuration(tmp_path, **changes))
     _, lines = await asyncio.wait_for(running.communicate(), PATIENCE)
     assert running.returncode == 2
-    assert lines.startswith(b"applehub: ") and lines.count(b"\n") == 1
+    assert lines.startswith(b"rainhitch: ") and lines.count(b"\n") == 1
 
 
 async def test_a_port_in_use_ends_with_one_plain_line(tmp_path: Path) -> None:
@@ -214,7 +214,7 @@
     running = await program(configuration(tmp_path, listen=taken.address))
     _, lines = await asyncio.wait_for(running.communicate(), PATIENCE)
     assert running.returncode == 2
-    assert lines.startswith(b"applehub: can't listen") and lines.count(b"\n") == 1
+    assert lines.startswith(b"rainhitch: can't listen") and lines.count(b"\n") == 1
     await taken.stop()
 
 
@@ -223,7 +223,7 @@
         running = await program({**os.environ, **env})
         _, lines = await asyncio.wait_for(running.communicate(), PATIENCE)
         assert running.returncode == 2
-        assert lines.startswith(b"applehub: ") and lines.count(b"\n") == 1
+        assert lines.startswith(b"rainhitch: ") and lines.count(b"\n") == 1
 
 
 async def started(running: asyncio.subprocess.Process) -> tuple[str, int]:
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -7,7 +7,7 @@
 
 from support import MILLI, SECOND, Router, settings
 
-from applehub import interface as api
+from rainhitch import interface as api
 
 ROOT = Path(__file__).parent.parent
 
--- a/tests/test_found.py
+++ b/tests/test_found.py
@@ -3,8 +3,8 @@
 import pytest
 from support import MILLI, SECOND, START, Router, fleet, settings
 
-from applehub import interface as api
-from applehub.logic import SAMPLES, Balancer, Monitor, Popularity
+from rainhitch import interface as api
+from rainhitch.logic import SAMPLES, Balancer, Monitor, Popularity
 
 
 def test_what_still_earns_something_late_is_waited_for() -> None:
--- a/tests/test_growth.py
+++ b/tests/test_growth.py
@@ -15,12 +15,12 @@
 from peers import MISS, PATIENCE, Bench, Cache, Caller, Web, entry, hit, router, soon
 from test_discovery import ROOT, configuration, listing, started
 
-from applehub.logic import Job, Server
-from applehub.node import pool
-from applehub.node.call import Call, Exchange
-from applehub.node.clients import Client, Slot
-from applehub.node.driver import Attempt, Held
-from applehub.node.pool import Connection, Pool
+from rainhitch.logic import Job, Server
+from rainhitch.node import pool
+from rainhitch.node.call import Call, Exchange
+from rainhitch.node.clients import Client, Slot
+from rainhitch.node.driver import Attempt, Held
+from rainhitch.node.pool import Connection, Pool
 
 KINDS = (Client, Slot, Held, Attempt, Call, Exchange, Connection, Pool, Job, Server, asyncio.Task)
 
@@ -112,7 +112,7 @@
     await cache.start()
     env = configuration(tmp_path, known=listing(3, entry("c0", cache.address)))
     running = await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "applehub", env=env, cwd=ROOT, stderr=asyncio.subprocess.PIPE, preexec_fn=few
+        sys.executable, "-m", "rainhitch", env=env, cwd=ROOT, stderr=asyncio.subprocess.PIPE, preexec_fn=few
     )
     address = await started(running)
     assert running.stderr is not None
--- a/tests/test_hostile.py
+++ b/tests/test_hostile.py
@@ -7,9 +7,9 @@
 import pytest
 from peers import FETCHED, MISS, Bench, Cache, Web, entry, hit, http, info, router, soon
 
-from applehub.node import clients, pool, resp
-from applehub.node.call import CallError, read_call
-from applehub.settings import read_names
+from rainhitch.node import clients, pool, resp
+from rainhitch.node.call import CallError, read_call
+from rainhitch.settings import read_names
 
 INFO = b"c=read,t=acme,d=9000"
 ONCE = b"c=once,t=acme,d=9000"
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -3,8 +3,8 @@
 import pytest
 from support import MILLI, ORIGIN_KIND, SECOND, START, Router, fleet, settings
 
-from applehub import interface as api
-from applehub.logic import DEALS_KEPT, KEYS_KEPT, KeyMemory, KeyRanges, Monitor, Popularity, Server
+from rainhitch import interface as api
+from rainhitch.logic import DEALS_KEPT, KEYS_KEPT, KeyMemory, KeyRanges, Monitor, Popularity, Server
 
 S = api.Status
 
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -9,10 +9,10 @@
 import pytest
 from peers import MISS, Cache, Web, entry, hit, http, router, soon
 
-from applehub import interface as api
-from applehub.node import pool, resp
-from applehub.node.call import Call, Exchange
-from applehub.node.driver import WAY_BACK, Held
+from rainhitch import interface as api
+from rainhitch.node import pool, resp
+from rainhitch.node.call import Call, Exchange
+from rainhitch.node.driver import WAY_BACK, Held
 
 INFO = b"c=read,t=acme,d=9000"
 
@@ -259,7 +259,7 @@
 
 
 async def test_a_reader_that_takes_nothing_is_cut_off(monkeypatch: pytest.MonkeyPatch) -> None:
-    from applehub.node import clients
+    from rainhitch.node import clients
 
     monkeypatch.setattr(clients, "STUCK", 0.2)
     async with router(lambda asked, line: hit(bytes(resp.MOST_VALUE))) as bench:
@@ -321,7 +321,7 @@
 async def test_an_idle_connection_is_closed_well_before_the_server_does(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    from applehub.node import pool
+    from rainhitch.node import pool
 
     monkeypatch.setattr(pool, "SWEEP", 0.05)
     async with router(keepalive=200_000_000) as bench:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -8,8 +8,8 @@
 from support import MILLI, ORIGIN_KIND, SECOND, fleet
 from support import settings as router_settings
 
-from applehub import interface as api
-from applehub.logic import Balancer
+from rainhitch import interface as api
+from rainhitch.logic import Balancer
 
 GRACE = SECOND // 4
 MICRO = 1000
--- a/tests/test_throttle.py
+++ b/tests/test_throttle.py
@@ -3,8 +3,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from applehub.interface import Request, RequestClass
-from applehub.logic import FEW_TOKENS, LEAST_TOTAL, Job, Throttle
+from rainhitch.interface import Request, RequestClass
+from rainhitch.logic import FEW_TOKENS, LEAST_TOTAL, Job, Throttle
 
 SECOND = 1_000_000_000
 SPEC = RequestClass(aim=SECOND, deadline=2 * SECOND)
--- a/tests/test_wirehost.py
+++ b/tests/test_wirehost.py
@@ -24,7 +24,7 @@
 
 def play(lines: list[str]) -> subprocess.CompletedProcess[str]:
     return subprocess.run(
-        [sys.executable, "-m", "applehub.wirehost"],
+        [sys.executable, "-m", "rainhitch.wirehost"],
         input="".join(f"{line}\n" for line in lines),
         text=True,
         capture_output=True,
