--- a/rainhitch/__main__.py
+++ b/rainhitch/__main__.py
@@ -12,11 +12,11 @@
 import uvloop
 
 from rainhitch.interface import Settings
-from rainhitch.logic import Balancer
 from rainhitch.node.clients import Clients
 from rainhitch.node.discovery import Directory, ListError, Watch, read_endpoint
 from rainhitch.node.driver import Driver
 from rainhitch.node.pool import Endpoint, Pools
+from rainhitch.policy.balancer import Balancer
 from rainhitch.settings import (
     Ceilings,
     Json,
--- a/rainhitch/node/__init__.py
+++ b/rainhitch/node/__init__.py
@@ -1,1 +1,1 @@
-"""The real router: the decisions of rainhitch.logic on real sockets."""
+"""The real router: the decisions of rainhitch.policy on real sockets."""
--- /dev/null
+++ b/rainhitch/policy/balancer.py
@@ -0,0 +1,219 @@
+"""One router's decisions: takes the time and an event, gives the actions.
+
+Requests likely to miss spend tokens of Berger's rate-control throttle, which shields the shared
+origin; keys follow equal hash ranges over the sorted server list. docs/design.md tells the rest.
+"""
+
+from collections.abc import Callable
+
+from rainhitch import interface as api
+from rainhitch.policy.gate import Gate
+from rainhitch.policy.jobs import NEVER_RAN, Job
+from rainhitch.policy.placement import SLOW, KeyMemory, Placement
+from rainhitch.policy.servers import Fleet, Server
+from rainhitch.policy.shares import Shares
+from rainhitch.policy.turn import Turn
+
+NO_CROWD = 1 << 20  # no limit by it
+PATIENCE = 8  # expected answer times that a first attempt waits; a mean there leaves e^-8 without its answer
+
+
+class Balancer:
+    """The host of the parts: what a request goes through, from its arrival to its one final answer."""
+
+    def __init__(self, settings: api.Settings, seed: int) -> None:
+        self.settings = settings
+        self.turn = Turn(settings, seed)
+        self.jobs: dict[str, Job] = {}
+        self.fleet = Fleet(self.turn)
+        self.placement = Placement(self.turn, self.fleet)
+        self.shares, self.memory = Shares(self.turn), KeyMemory()
+        self.gate = Gate(self.turn, self._proceed, self._give_up)
+        self.fetches: dict[str, list[Job]] = {}  # keys being read from the origin, and who waits for them
+        self.handlers: dict[type, Callable[..., None]] = {
+            api.Request: self._on_request,
+            api.Outcome: self._on_outcome,
+            api.Members: self._on_members,
+            api.Withdrawn: self._on_withdrawn,
+        }
+
+    def handle(self, now: int, event: api.Event) -> list[api.Action]:
+        """Plays one event at its time."""
+        turn = self.turn
+        turn.now, turn.actions = now, []
+        if self.gate.monitor.born < 0:
+            self.gate.start()
+        handler = self.handlers.get(type(event))
+        if handler is not None:
+            handler(event)
+        elif type(event) is api.Alarm and event.token == str(turn.wake_at):
+            # Guards against coarse timers: known by its token, since it may come a little before its time.
+            turn.wake_at = 0
+        turn.run_agenda()
+        return turn.actions
+
+    def _on_members(self, event: api.Members) -> None:
+        ready = self.fleet.take(event)
+        if ready is not None:
+            self.placement.ranges.deal(self.turn.now, ready)
+
+    def _on_request(self, event: api.Request) -> None:
+        spec = self.settings.classes[event.cls]
+        job = self.jobs[event.id] = Job(event, spec, min(event.deadline, self.turn.now + spec.aim))
+        job.marked = self.shares.exceeds(event)
+        job.skip = self.placement.arrived(event)
+        if event.write and self.settings.aside:
+            job.at_origin = True
+            self._proceed(job)
+        elif event.key is not None and self.memory.likely_miss(event.key, self.turn.now):
+            job.likely_miss = True
+            if not self._join(job):
+                self.gate.spend(job)
+        else:
+            self._proceed(job)
+
+    def _join(self, job: Job) -> bool:
+        """Guards against a flood of reads for one key: who lacks it waits for the read that is out."""
+        waiting = self.fetches.get(job.request.key or "")
+        if waiting is None or self.turn.now >= job.due:
+            return False
+        waiting.append(job)
+        self.turn.later(job.due - self.turn.now, self._give_up, job)
+        return True
+
+    def _fetched(self, key: str, stored: bool) -> None:
+        """An origin read has ended: who waited for it finds the key in the cache, or takes its own turn."""
+        waiting = self.fetches.pop(key, [])
+        if stored:
+            waiting += self.gate.waiting_for(key)
+        for job in waiting:
+            if self.jobs.get(job.request.id) is not job or job.out:
+                continue
+            self.gate.leave(job)
+            if stored:
+                job.at_origin = False
+                job.tried.clear()
+                self._proceed(job)
+            elif not self._join(job):
+                self.gate.spend(job)
+
+    def _proceed(self, job: Job | None) -> None:
+        if job is None or job.request.id not in self.jobs or job.out:
+            return  # ended meanwhile; and never are two attempts out
+        server = self.fleet.origin if job.at_origin else self.placement.choose(job)
+        # Guards against work that keeps a jammed origin jammed: the rule for swamped servers holds here too.
+        limit, routers = job.spec.aim * SLOW, self.settings.balancers
+        jammed = job.at_origin and server and not server.calm(self.turn.now, limit, NO_CROWD, routers)
+        if server is None or jammed or not self._may_send(job, server):
+            self._give_up(job)
+        else:
+            self._send(job, server)
+
+    def _send(self, job: Job, server: Server) -> None:
+        key, read = job.request.key, job.at_origin and not job.request.write
+        left = job.request.deadline - self.turn.now
+        timeout = 0
+        if job.spec.effect is not api.Effect.UNSAFE and not job.spec.stream:
+            # Guards against an origin slower than an aim: a read given up fills no cache for those after it.
+            # Guards against a jam fed by second tries: what still earns something late is waited for.
+            timeout = left if read or job.spec.late_worth else min(left, job.due - self.turn.now)
+            if not job.made and not job.at_origin and server.share >= 1:
+                # Guards against a connection that fell silent: an answer far later than is usual here is not
+                # waited for. The wait grows with the server's answer times, and at one that was slow lately
+                # it is the whole, so that a jam is not fed.
+                timeout = min(timeout, max(job.spec.aim // 4, int(PATIENCE * server.predict())))
+        server.out += 1
+        server.sent_at = self.turn.now
+        job.live[job.made] = (server, self.turn.now)
+        job.out.add(job.made)
+        job.made += 1
+        job.tried.add(server.member.server)
+        if read or (job.likely_miss and not self.settings.aside):
+            self.gate.sent((job.request.id, job.made - 1), int(job.spec.aim * SLOW))
+        if key is not None and not self.settings.aside:
+            self.memory.put(key, self.turn.now)
+        elif key is not None and read:
+            self.fetches.setdefault(key, [])
+        self.turn.actions.append(api.Send(job.request.id, server.member.server, max(timeout, 0)))
+
+    def _may_send(self, job: Job, server: Server) -> bool:
+        """Rules 1 and 2: whether this attempt is allowed, by what the earlier ones proved."""
+        # Guards against a last attempt that no server could answer in time, and whose end would tell nothing.
+        if job.made >= self.settings.max_attempts or self.turn.now + server.base / 2 >= job.request.deadline:
+            return False
+        return job.may_repeat(server.member, self.turn.now)
+
+    def _give_up(self, job: Job | None) -> None:
+        """The final answer of this router: a refusal where that is true, else a failure."""
+        if job is None or job.out or self.jobs.get(job.request.id) is not job:
+            return
+        name, settings = job.request.id, self.settings
+        if job.may_refuse(self.turn.now):
+            later = min(self.turn.shortest_aim, settings.max_retry_after) if settings.retry_after else 0
+            self.turn.actions.append(api.Refuse(name, later))
+        else:
+            self.turn.actions.append(api.Fail(name))
+        self._end(job)
+
+    def _end(self, job: Job) -> None:
+        self.jobs.pop(job.request.id, None)
+        self.gate.leave(job)
+
+    def _on_withdrawn(self, event: api.Withdrawn) -> None:
+        job = self.jobs.get(event.id)
+        if job is not None:
+            self._end(job)
+            if job.at_origin and job.out and job.request.key is not None and not job.request.write:
+                self._fetched(job.request.key, False)  # what nobody waits for is not stored
+
+    def _on_outcome(self, event: api.Outcome) -> None:
+        job = self.jobs.get(event.id)
+        self.fleet.observe(event)
+        self.gate.ended((event.id, event.attempt), event.status is api.Status.OK)
+        if job is None:
+            return
+        job.out.discard(event.attempt)
+        (self._closed if event.closed else self._unanswered)(job, event)
+
+    def _closed(self, job: Job, event: api.Outcome) -> None:
+        self._end(job)
+        key, answered = job.request.key, event.status is api.Status.OK
+        if key is None or job.request.write:
+            return
+        if job.at_origin:
+            if answered:
+                self.memory.put(key, self.turn.now)
+            self._fetched(key, answered)
+        elif answered:
+            self.memory.learn(key, self.turn.now, True)
+
+    def _unanswered(self, job: Job, event: api.Outcome) -> None:
+        key, status = job.request.key, event.status
+        if status in NEVER_RAN:
+            job.live.pop(event.attempt, None)
+        # Guards against a slow origin behind the caches: what one could not fetch, no other should try.
+        late = self.turn.now >= job.due and not job.spec.late_worth
+        unfetched = status is api.Status.ERROR and not self.settings.aside and not job.request.write
+        if status is api.Status.MISS and self.settings.aside and not job.at_origin:
+            job.at_origin = True
+            if key is not None:
+                self.memory.learn(key, self.turn.now, False)
+            if not self._join(job):
+                self.gate.spend(job)
+        elif job.at_origin:
+            self._after_origin(job)
+            if key is not None and not job.request.write:
+                self._fetched(key, False)
+        elif unfetched or late or (status is api.Status.FULL and (job.marked or job.made > 1)):
+            self._give_up(job)
+        else:
+            self._proceed(job)
+
+    def _after_origin(self, job: Job) -> None:
+        """A read the origin failed is refused, to shield it; a write tries again while its aim lasts."""
+        wait = int((job.spec.aim << job.made) * self.turn.random.uniform(0.5, 1)) // 32
+        timely = job.request.write and self.turn.now + wait < job.due
+        if timely and self.fleet.origin and self._may_send(job, self.fleet.origin):
+            self.turn.later(wait, self._proceed, job)
+        else:
+            self._give_up(job)
--- /dev/null
+++ b/rainhitch/policy/jobs.py
@@ -0,0 +1,47 @@
+"""A request that is held, and what rules 1 and 2 allow for it by what its attempts have proved."""
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from rainhitch import interface as api
+
+if TYPE_CHECKING:
+    from rainhitch.policy.servers import Server
+
+NEVER_RAN = frozenset((api.Status.FULL, api.Status.CONNECT_FAILED, api.Status.MOOT, api.Status.MISS))
+
+
+@dataclass(slots=True, eq=False)
+class Job:
+    """A request this router holds, with what its attempts have proved so far."""
+
+    request: api.Request
+    spec: api.RequestClass
+    due: int  # until when it is worth its full: the end of its aim, or its deadline if that is sooner
+    marked: bool = False  # over its tenant's share
+    likely_miss: bool = False  # its key was not lately seen hit; in through mode, not lately sent
+    skip: int = 0  # owners of a hot key's ranges that this request passes by
+    at_origin: bool = False  # a write, or a read that missed
+    made: int = 0  # attempts so far
+    live: dict[int, "tuple[Server, int]"] = field(default_factory=dict)  # may have run: where, when sent
+    out: set[int] = field(default_factory=set)
+    tried: set[str] = field(default_factory=set)
+
+    def may_repeat(self, to: api.Member, now: int) -> bool:
+        """Rule 2: whether one more attempt may go there, by what the earlier ones proved."""
+        if self.spec.effect is api.Effect.SAFE or not self.live:
+            return True
+        if self.spec.effect is api.Effect.UNSAFE or not self.in_window(now):
+            return False
+        group = self.spec.group
+        ran = [at.member for at, _ in self.live.values()]
+        same = [one.zone == to.zone if group == "zone" else one.cell == to.cell for one in ran]
+        return group == "all" or all(same)
+
+    def may_refuse(self, now: int) -> bool:
+        """Rule 2: whether trying again is harmless, which is what a refusal says."""
+        dropped = self.spec.effect is api.Effect.KEYED and self.spec.group == "all"
+        return self.spec.effect is api.Effect.SAFE or not self.live or (dropped and self.in_window(now))
+
+    def in_window(self, now: int) -> bool:
+        return now < min(sent for _, sent in self.live.values()) + self.spec.window
--- /dev/null
+++ b/rainhitch/policy/servers.py
@@ -0,0 +1,182 @@
+"""The servers as this router has seen them: what to expect of each, and the list of them all."""
+
+from dataclasses import dataclass, field
+
+from rainhitch import interface as api
+from rainhitch.policy.jobs import Job
+from rainhitch.policy.rates import SECOND, SMOOTHING, Bank
+from rainhitch.policy.turn import Turn
+
+
+@dataclass(slots=True, eq=False)
+class Server:
+    """What this router has seen of one server."""
+
+    member: api.Member
+    latency: float  # moving average of answer times, ns
+    base: float = 0.0  # its answer time when uncrowded: the least average seen, slowly forgotten
+    learned_at: int = 0
+    held: float = 1.0  # moving average of the attempts this router had out meanwhile
+    out: int = 0
+    sent_at: int = 0
+    proved_at: int = 0  # when the latest attempt was sent that it has answered
+    fails: int = 0  # connections failed or broken in a row
+    down_since: int = 0
+    down_until: int = 0
+    budget: Bank = field(default_factory=Bank)  # of what it may be sent while it warms up
+    share: float = 1.0  # the part of its range that it bears
+    cut_at: int = 0
+    linked: bool = False  # it took this router's last connect
+    size: float = 1.0  # its listed weight by the fleet's mean
+    cold_since: int = 0  # 0: warm since long ago
+    trial: bool = False  # what is out was sent to see whether it has recovered
+    load: api.Load | None = None
+    load_at: int = 0
+
+    def predict(self) -> float:
+        """The answer time to expect of one more request, if it grows with what this router has out."""
+        return self.latency * (self.out + 1) / self.held
+
+    def reported(self, now: int) -> float:
+        """The same by the server's last report, while that is fresh: it tells what other routers send."""
+        load = self.load
+        if load is None or now - self.load_at > SECOND:
+            return 0.0
+        busy = max(1.0, load.qps * load.latency_ms / 1000)  # cores at work, by Little's law
+        return load.latency_ms * 1e6 * (load.inflight + 1) / busy
+
+    def calm(self, now: int, limit: float, crowd: int, routers: int) -> bool:
+        """Whether one more request is answered within the limit, and crowd times its uncrowded answer time.
+        A swamped server gets one trial an answer time, to recover: from all routers what a core serves."""
+        own, reported = self.predict(), self.reported(now)
+        if own <= min(limit, crowd * (self.base or limit)) and reported <= limit * crowd / 2:
+            return True
+        pace = self.load.latency_ms * 1e6 * routers if self.load is not None else 0.0
+        if self.out or now - self.sent_at < max(own, reported, pace):
+            return False
+        self.trial = True
+        return True
+
+    def learn(self, now: int, span: int, elapsed: int, out: int) -> None:
+        # Guards against a fleet so wide that answers come seldom: each counts for the time since the last.
+        weight = 1 / 2 if self.trial else min(max((now - self.learned_at) / span, SMOOTHING), 1 / 2)
+        self.learned_at = now
+        self.latency += (elapsed - self.latency) * weight
+        self.held += (out - self.held) * SMOOTHING
+        self.base = min(self.base * (1 + SMOOTHING / 16) or self.latency, self.latency)
+        self.trial = False
+
+    def bear(self, now: int, elapsed: int, slow: bool) -> None:
+        """A slow answer cuts the share of its range by a quarter, once a jam; a quick one adds a part."""
+        if not slow:
+            self.share = min(self.share + SMOOTHING / 2, 1.0)
+        elif now - elapsed >= self.cut_at:
+            self.share, self.cut_at = max(self.share * 3 / 4, SMOOTHING), now
+
+    def open(self, now: int) -> bool:
+        """Whether it may be tried: one at a time after a failure, until it answers."""
+        return self.member.state is api.State.READY and (
+            not self.fails or (now >= self.down_until and not self.out)
+        )
+
+
+class Fleet:
+    """All servers on the list, and the origin among them."""
+
+    def __init__(self, turn: Turn) -> None:
+        self.turn = turn
+        self.servers: dict[str, Server] = {}
+        self.origin: Server | None = None
+        self.crowded = 0.0  # part of the latest new connects that were refused at once
+        self.asks = 0
+
+    def take(self, event: api.Members) -> list[str] | None:
+        """Takes up news of the list; gives the sorted ids of the ready cache servers, None if it failed."""
+        if event.kind is api.ListKind.FAILED:
+            self.asks = min(self.asks + 1, 8)
+            wait = min(SECOND << self.asks, self.turn.settings.ask_within) * self.turn.random.uniform(0.5, 1)
+            self.turn.actions.append(api.Log(f"list unavailable, asked again in {wait / 1e6:.0f} ms"))
+            self.turn.later(int(wait), self._ask)
+            return None
+        if event.kind is not api.ListKind.CACHED:
+            self.asks = 0
+        elif self.turn.settings.must_ask:
+            self._ask(None)
+        if event.kind is not api.ListKind.DELTA:
+            named = {entry.server for entry in event.entries}
+            for name in [name for name in self.servers if name not in named]:
+                self._member(api.Member(name, api.State.GONE), True)
+        for entry in event.entries:
+            self._member(entry, event.kind is api.ListKind.CACHED)
+        origin_kind = self.turn.settings.origin_kind if self.turn.settings.aside else -1
+        ready = [server for server in self.servers.values() if server.member.state is api.State.READY]
+        caches = [server for server in ready if server.member.kind != origin_kind]
+        mean = sum(server.member.weight for server in caches) / max(1, len(caches)) or 1.0
+        for server in caches:  # guards against an equal range for an unequal machine: the small bear less
+            server.size = server.member.weight / mean
+        self.origin = next((server for server in ready if server.member.kind == origin_kind), None)
+        return sorted(server.member.server for server in caches)
+
+    def _member(self, entry: api.Member, old: bool) -> None:
+        if entry.state is api.State.GONE:
+            gone = self.servers.pop(entry.server, None)
+            if gone is not None:
+                gone.member = entry
+            return
+        server = self.servers.get(entry.server)
+        if server is None:
+            server = Server(
+                entry, self.turn.shortest_aim / 8, learned_at=self.turn.now, cold_since=entry.since
+            )
+            self.servers[entry.server] = server
+            if not old and not entry.since:
+                server.cold_since = self.turn.now  # new to the list, with no start time told: taken as cold
+        elif entry.since > server.member.since:
+            server.cold_since = max(server.cold_since, entry.since)
+            server.fails = 0
+        server.member = entry
+
+    def _ask(self, _: Job | None) -> None:
+        self.turn.actions.append(api.Watch())
+
+    def observe(self, event: api.Outcome) -> None:
+        """Learns from how an attempt ended."""
+        server = self.servers.get(event.server)
+        if server is None:
+            return
+        server.out = max(0, server.out - 1)
+        status, load = event.status, event.load
+        if load is not None and load.inflight >= 0 and load.latency_ms > 0:
+            server.load, server.load_at = load, self.turn.now
+        failed = status in (api.Status.CONNECT_FAILED, api.Status.RESET)
+        if not server.linked and not server.fails and event.elapsed < self.turn.settings.connect_timeout:
+            self.crowded += (failed - self.crowded) * SMOOTHING
+        server.linked = not failed
+        if failed:
+            if not server.fails:
+                server.down_since = self.turn.now
+                self.turn.actions.append(api.Log(f"server {event.server} unreachable"))
+            server.fails += 1
+            wait = self.turn.settings.connect_timeout << min(server.fails, 4)
+            server.down_until = self.turn.now + int(wait * self.turn.random.uniform(0.5, 1))
+        elif server.fails and status in (api.Status.OK, api.Status.MISS, api.Status.FULL, api.Status.ERROR):
+            server.fails = 0
+            self.turn.actions.append(api.Log(f"server {event.server} answers again"))
+            if self.turn.now - server.down_since > SECOND and self.crowded <= 1 / 2:
+                server.cold_since = (
+                    self.turn.now
+                )  # a process that died comes back cold, before the list tells
+        # Guards against a swamped server whose keys went elsewhere: a trial that misses tells as well.
+        full, missed = status is api.Status.FULL, status is api.Status.MISS
+        elapsed = self.turn.shortest_aim if full else event.elapsed  # a quick "full" proves no quick server
+        answered, sent = status in (api.Status.OK, api.Status.MISS), self.turn.now - event.elapsed
+        if answered:
+            server.proved_at = max(server.proved_at, sent)
+        # Guards against one connection that fell silent taken for a swamped server: who has answered what
+        # was sent later is none. Nor does a time-out tell of an answer time below what was waited.
+        lone = server.proved_at > sent or event.elapsed < server.latency
+        silent = status is api.Status.TIMEOUT and not lone
+        if full or silent or status is api.Status.OK or (missed and server.trial):
+            server.learn(self.turn.now, 2 * self.turn.shortest_aim, elapsed, server.out + 1)
+        if full or silent or answered:
+            server.bear(self.turn.now, event.elapsed, elapsed > self.turn.shortest_aim // 2)
--- /dev/null
+++ b/rainhitch/policy/shares.py
@@ -0,0 +1,33 @@
+"""What each customer may send of its share, cut to this router's part of the traffic."""
+
+from rainhitch import interface as api
+from rainhitch.policy.rates import Bank, Rate
+from rainhitch.policy.throttle import LEAST_TOTAL
+from rainhitch.policy.turn import Turn
+
+PART_KEPT = 10_000_000  # ns for which this router's part of the traffic is taken as known
+
+
+class Shares:
+    """Marks what exceeds a customer's quota."""
+
+    def __init__(self, turn: Turn) -> None:
+        self.turn = turn
+        tenants = turn.settings.tenants
+        self.shares = [Rate(4 * turn.shortest_aim) for _ in tenants]
+        self.banks = [Bank() for _ in tenants]
+        self.part, self.part_until = 0.0, 0  # this router's part of the traffic, and until when it holds
+
+    def exceeds(self, event: api.Request) -> bool:
+        """Whether this request is beyond its customer's quota."""
+        quotas = self.turn.settings.tenants
+        if event.tenant >= len(quotas) or len(quotas) < 2 or not quotas[event.tenant].quota:
+            return False
+        if not event.repeat:
+            self.shares[event.tenant].add(self.turn.now)
+        if self.turn.now >= self.part_until:
+            both = zip(self.shares, quotas, strict=True)
+            used = sorted(rate.per_second(self.turn.now) / one.quota for rate, one in both if one.quota)
+            self.part, self.part_until = used[(len(used) - 1) // 2], self.turn.now + PART_KEPT
+        rate = quotas[event.tenant].quota * max(1 / self.turn.settings.balancers, self.part)
+        return not self.banks[event.tenant].take(self.turn.now, rate, max(LEAST_TOTAL, rate))
--- a/rainhitch/wirehost.py
+++ b/rainhitch/wirehost.py
@@ -8,7 +8,7 @@
 import orjson
 
 from rainhitch import interface as io
-from rainhitch.logic import Balancer
+from rainhitch.policy.balancer import Balancer
 from rainhitch.settings import Json, SettingError, read_settings
 
 STATUS = {
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -204,7 +204,7 @@
     **ceilings: Any,
 ) -> AsyncIterator[Bench]:
     """One router with one cache server and one origin, wired as the program does it."""
-    from rainhitch.logic import Balancer
+    from rainhitch.policy.balancer import Balancer
 
     peers = Cache(cache), Web(origin)
     for peer in peers:
--- a/tests/support.py
+++ b/tests/support.py
@@ -1,7 +1,8 @@
 """Small helpers of the tests: settings, events and a router driven step by step."""
 
 from rainhitch import interface as api
-from rainhitch.logic import Balancer, Server
+from rainhitch.policy.balancer import Balancer
+from rainhitch.policy.servers import Server
 
 SECOND = 1_000_000_000
 MILLI = 1_000_000
@@ -93,7 +94,7 @@
 
     def candidates(self, key: str) -> list[Server]:
         balancer = self.balancer
-        return [balancer.servers[name] for name in balancer.ranges.locate(key, self.now)[2]]
+        return [balancer.fleet.servers[name] for name in balancer.placement.ranges.locate(key, self.now)[2]]
 
     def serve(self, key: str) -> str:
         """Lets a key be fetched and stored; gives the server that holds it."""
@@ -110,4 +111,4 @@
             (second,) = self.end(first, api.Status.MISS)
             self.end(second, api.Status.FULL, 1)
         self.wait(SECOND)
-        assert self.balancer.monitor.throttle is not None
+        assert self.balancer.gate.monitor.throttle is not None
--- a/tests/test_found.py
+++ b/tests/test_found.py
@@ -4,13 +4,15 @@
 from support import MILLI, SECOND, START, Router, fleet, settings
 
 from rainhitch import interface as api
-from rainhitch.logic import SAMPLES, Balancer, Monitor, Popularity
+from rainhitch.policy.balancer import Balancer
+from rainhitch.policy.placement import SAMPLES, Popularity
+from rainhitch.policy.throttle import Monitor
 
 
 def test_what_still_earns_something_late_is_waited_for() -> None:
     """Kochi's retry storm: reads sent again half-way to their deadline doubled the work in a jam."""
     router = Router()
-    for one in router.balancer.servers.values():
+    for one in router.balancer.fleet.servers.values():
         one.share = 3 / 4  # slow lately
     _, (send,) = router.ask("k")
     assert isinstance(send, api.Send)
@@ -20,7 +22,7 @@
 def quick(router: Router) -> list[str]:
     """Keys that one quick server holds, among many."""
     held = {f"q{n}": router.serve(f"q{n}") for n in range(24)}
-    for one in router.balancer.servers.values():
+    for one in router.balancer.fleet.servers.values():
         one.latency, one.base, one.share = 20.0 * MILLI, 20.0 * MILLI, 1.0
     return [key for key in held if held[key] == held["q0"] == router.candidates(key)[0].member.server]
 
@@ -45,7 +47,7 @@
     router.now += 10 * MILLI
     _, (later,) = router.ask(second)
     assert isinstance(lost, api.Send) and isinstance(later, api.Send) and lost.server == later.server
-    server = router.balancer.servers[lost.server]
+    server = router.balancer.fleet.servers[lost.server]
     router.now += 20 * MILLI
     router.end(later, api.Status.OK, elapsed=20 * MILLI)
     before = server.latency
@@ -63,7 +65,7 @@
     """After a time-out at the deadline another attempt went out, and its end after 0.2 ms was learnt."""
     router = Router()
     router.serve("k")
-    for one in router.balancer.servers.values():
+    for one in router.balancer.fleet.servers.values():
         one.base = 20.0 * MILLI
     _, (send,) = router.ask("k")
     router.now += 2 * SECOND - MILLI
@@ -109,7 +111,7 @@
     router = Router(members=fleet(4))
     keys = [f"k{n}" for n in range(400)]
     owned = [key for key in keys if router.candidates(key)[0].member.server == "c1"]
-    slow = router.balancer.servers["c1"]
+    slow = router.balancer.fleet.servers["c1"]
     for n in range(2):
         slow.bear(router.now + n, 0, True)
         slow.bear(router.now + n, SECOND, True)  # sent before the cut: the same jam
@@ -151,7 +153,7 @@
     router = Router(members=[*fleet(7), api.Member("c7", since=START - SECOND)])
     router.wait(8 * SECOND)
     mine = [key for key in map(str, range(900)) if router.candidates(key)[0].member.server == "c7"]
-    mine = [key for key in mine if router.balancer.ranges.locate(key, router.now)[1] > START][:4]
+    mine = [key for key in mine if router.balancer.placement.ranges.locate(key, router.now)[1] > START][:4]
     sent = 0
     for n in range(400):
         _, (send,) = router.ask(mine[n % 4] if n % 2 else f"other{n}")
@@ -223,7 +225,7 @@
         dead = send.server in ("c3", "c7", "c11")
         for again in router.end(send, api.Status.CONNECT_FAILED if dead else api.Status.OK, 0, MILLI):
             router.end(again, api.Status.OK, 1)
-        assert router.balancer.crowded <= 1 / 2
+        assert router.balancer.fleet.crowded <= 1 / 2
         router.wait(SECOND // 10)
 
 
--- a/tests/test_growth.py
+++ b/tests/test_growth.py
@@ -15,12 +15,13 @@
 from peers import MISS, PATIENCE, Bench, Cache, Caller, Web, entry, hit, router, soon
 from test_discovery import ROOT, configuration, listing, started
 
-from rainhitch.logic import Job, Server
 from rainhitch.node import pool
 from rainhitch.node.call import Call, Exchange
 from rainhitch.node.clients import Client, Slot
 from rainhitch.node.driver import Attempt, Held
 from rainhitch.node.pool import Connection, Pool
+from rainhitch.policy.jobs import Job
+from rainhitch.policy.servers import Server
 
 KINDS = (Client, Slot, Held, Attempt, Call, Exchange, Connection, Pool, Job, Server, asyncio.Task)
 
@@ -68,9 +69,9 @@
         await churn(bench, range(10, 70))
         await soon(lambda: all(not one.all for one in bench.pools.leaving))
         balancer, clients = bench.driver.balancer, bench.clients
-        assert len(balancer.servers) == len(bench.pools.pools) == len(bench.directory.targets) == 2
-        assert not balancer.jobs and not balancer.reads and not balancer.fetches
-        assert len(balancer.ranges.deals) <= 33 and len(balancer.ranges.chains) <= 2
+        assert len(balancer.fleet.servers) == len(bench.pools.pools) == len(bench.directory.targets) == 2
+        assert not balancer.jobs and not balancer.gate.reads and not balancer.fetches
+        assert len(balancer.placement.ranges.deals) <= 33 and len(balancer.placement.ranges.chains) <= 2
         assert len(bench.pools.leaving) <= 1 and bench.driver.held_bytes == 0
         assert not clients.awaited and not clients.idle and not clients.lingering and clients.buffered == 0
         grown = {name: (before[name], many) for name, many in alive().items() if many > before[name] + 8}
@@ -99,7 +100,7 @@
                 caller.get(name=b"i%d" % n, info=b"c=once,t=acme,d=9000")
                 assert str(await caller.answer()).startswith("BUSY")
             await soon(lambda: len(os.listdir("/proc/self/fd")) == before)
-            assert not bench.pools.pools["c0"].all and bench.driver.balancer.servers["c0"].out == 0
+            assert not bench.pools.pools["c0"].all and bench.driver.balancer.fleet.servers["c0"].out == 0
         for one in queued:
             one.close()
 
--- a/tests/test_hostile.py
+++ b/tests/test_hostile.py
@@ -345,7 +345,7 @@
         monkeypatch.setattr(asyncio.get_running_loop(), "create_connection", none_left)
         caller.get(info=ONCE)
         assert str(await caller.answer()).startswith("BUSY")
-        assert bench.driver.balancer.servers["c0"].fails == 0
+        assert bench.driver.balancer.fleet.servers["c0"].fails == 0
         assert not bench.pools.pools["c0"].all
 
 
@@ -364,7 +364,7 @@
         other = await bench.caller()
         other.get(name=b"i2")
         assert await other.answer() == b"v"
-        servers, pools = bench.driver.balancer.servers, bench.pools
+        servers, pools = bench.driver.balancer.fleet.servers, bench.pools
         await soon(lambda: not bench.driver.held)
         assert set(servers) == {"c9", "o"} and set(pools.pools) == {"c9", "o"}
         assert servers["c9"].fails == 0 and servers["c9"].out == 0
@@ -388,9 +388,9 @@
             await caller.answer()
         await soon(lambda: not bench.driver.held)
         balancer = bench.driver.balancer
-        assert not balancer.jobs and not balancer.fetches and not balancer.reads
+        assert not balancer.jobs and not balancer.fetches and not balancer.gate.reads
         await soon(lambda: all(len(one.all) == len(one.idle) for one in bench.pools.pools.values()))
-        assert not any(one.out for one in balancer.servers.values())
+        assert not any(one.out for one in balancer.fleet.servers.values())
         assert bench.driver.held_bytes == 0
 
 
@@ -422,12 +422,14 @@
         ]
 
     async with router(lambda asked, line: None, entries=entries) as bench:
-        for one in bench.driver.balancer.servers.values():
+        for one in bench.driver.balancer.fleet.servers.values():
             one.latency = one.base = 1e7
         caller = await bench.caller()
         names = [b"k%d" % n for n in range(40)]
         crossed = next(
-            key for key in names if bench.driver.balancer.ranges.locate(key.decode(), 0)[2][0] == "c0"
+            key
+            for key in names
+            if bench.driver.balancer.placement.ranges.locate(key.decode(), 0)[2][0] == "c0"
         )
         caller.get(crossed)
         assert await caller.answer() == b"other"
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -4,7 +4,9 @@
 from support import MILLI, ORIGIN_KIND, SECOND, START, Router, fleet, settings
 
 from rainhitch import interface as api
-from rainhitch.logic import DEALS_KEPT, KEYS_KEPT, KeyMemory, KeyRanges, Monitor, Popularity, Server
+from rainhitch.policy.placement import DEALS_KEPT, KEYS_KEPT, KeyMemory, KeyRanges, Popularity
+from rainhitch.policy.servers import Server
+from rainhitch.policy.throttle import Monitor
 
 S = api.Status
 
@@ -35,13 +37,13 @@
     members[1].state = api.State.DRAINING
     router = Router(members=members)
     router.tell(api.Members(api.ListKind.DELTA, [api.Member("c2", api.State.GONE)]))
-    assert router.balancer.ranges.deals[-1][1] == ["c0", "c3"]
+    assert router.balancer.placement.ranges.deals[-1][1] == ["c0", "c3"]
 
 
 def test_a_full_list_removes_whom_it_does_not_name() -> None:
     router = Router()
     router.tell(api.Members(api.ListKind.FULL, fleet(2)))
-    assert router.balancer.ranges.deals[-1][1] == ["c0", "c1"]
+    assert router.balancer.placement.ranges.deals[-1][1] == ["c0", "c1"]
 
 
 def test_keys_take_up_a_new_list_evenly_over_a_turn_and_all_routers_alike() -> None:
@@ -119,7 +121,7 @@
 def test_overload_of_likely_misses_waits_then_is_refused_by_its_aim() -> None:
     router = Router()
     router.throttle_on()
-    throttle = router.balancer.monitor.throttle
+    throttle = router.balancer.gate.monitor.throttle
     assert throttle is not None
     asked, at_once = [], []
     for n in range(30):
@@ -139,7 +141,7 @@
     router = Router()
     router.throttle_on()
     router.wait(SECOND)
-    throttle = router.balancer.monitor.throttle
+    throttle = router.balancer.gate.monitor.throttle
     assert throttle is not None
     throttle.refill(router.now)
     throttle.level = 3
@@ -161,7 +163,7 @@
     router = Router()
     router.throttle_on()
     router.wait(60 * SECOND)
-    assert router.balancer.monitor.throttle is None
+    assert router.balancer.gate.monitor.throttle is None
     assert router.log[0].startswith("throttle on: ") and router.log[-1] == "throttle off"
 
 
@@ -241,7 +243,7 @@
         _, (first,) = router.ask(f"h{n}")
         router.end(first, S.MISS)
     router.wait(3 * SECOND // 2)
-    assert router.balancer.monitor.throttle is not None
+    assert router.balancer.gate.monitor.throttle is not None
 
 
 def test_one_read_a_key_is_out_and_who_waits_is_served_by_the_cache() -> None:
@@ -277,13 +279,13 @@
 def test_full_answers_make_a_server_swamped_not_quick() -> None:
     """Guards against a storm of full answers: work spills once, to a calm server, or is refused."""
     router = Router()
-    home = router.balancer.servers[router.serve("k")]
+    home = router.balancer.fleet.servers[router.serve("k")]
     for _ in range(12):
-        home.learn(router.now, SECOND, int(router.balancer.shortest_aim), 1)
+        home.learn(router.now, SECOND, int(router.balancer.turn.shortest_aim), 1)
     home.out, home.sent_at = 1, router.now
     _, actions = router.ask("k")
     assert sends(actions) and sends(actions) != [home.member.server]
-    for one in router.balancer.servers.values():
+    for one in router.balancer.fleet.servers.values():
         one.latency, one.out, one.sent_at = float(5 * SECOND), 1, router.now
     _, actions = router.ask("k")
     assert [type(action) for action in actions] == [api.Refuse]
@@ -310,7 +312,7 @@
     router.serve("k")
     _, (send,) = router.ask("k")
     router.end(send, S.OK, load=api.Load(inflight=40, latency_ms=100, qps=10))
-    one = router.balancer.servers[sends([send])[0]]
+    one = router.balancer.fleet.servers[sends([send])[0]]
     assert one.reported(router.now) == pytest.approx(4.1e9)
     assert one.reported(router.now + 2 * SECOND) == 0
     assert sends(router.ask("k")[1]) != [one.member.server]
@@ -353,7 +355,7 @@
     router = Router()
     for _ in range(2):
         router.tell(api.Members(api.ListKind.DELTA, [api.Member("c1", since=router.now - SECOND)]))
-        assert router.balancer.servers["c1"].cold_since == router.now - SECOND
+        assert router.balancer.fleet.servers["c1"].cold_since == router.now - SECOND
     router.wait(20 * SECOND)
     owned = [key for key in map(str, range(40)) if router.candidates(key)[0].member.server == "c1"]
     assert owned
@@ -371,15 +373,15 @@
     _, actions = router.ask("k")
     assert sends(actions) == sends([first])
     router.end(actions[0], S.OK)
-    assert router.balancer.servers[sends([first])[0]].cold_since == router.now
+    assert router.balancer.fleet.servers[sends([first])[0]].cold_since == router.now
     assert router.log[-1].endswith("answers again")
 
 
 def test_what_joins_the_list_later_without_a_start_time_is_taken_as_cold() -> None:
     router = Router()
     router.tell(api.Members(api.ListKind.DELTA, [api.Member("c9")]))
-    assert router.balancer.servers["c9"].cold_since == router.now
-    assert router.balancer.servers["c0"].cold_since == 0
+    assert router.balancer.fleet.servers["c9"].cold_since == router.now
+    assert router.balancer.fleet.servers["c0"].cold_since == 0
 
 
 # Lifecycle
@@ -407,7 +409,7 @@
 def test_reads_do_not_keep_a_swamped_origin_swamped() -> None:
     """Guards against the second's excess that is out before the first slow read shows."""
     router = Router()
-    origin = router.balancer.origin
+    origin = router.balancer.fleet.origin
     assert origin is not None
     origin.latency, origin.base, origin.sent_at = SECOND / 4, SECOND / 4, router.now
     reads: list[api.Action] = []
@@ -420,7 +422,7 @@
 def test_writes_do_not_keep_a_swamped_origin_swamped() -> None:
     """Guards against writes that keep a jammed origin jammed; a trial still shows when it recovers."""
     router = Router()
-    origin = router.balancer.origin
+    origin = router.balancer.fleet.origin
     assert origin is not None
     origin.latency, origin.sent_at = 3.0 * SECOND, router.now
     assert [type(action) for action in router.ask(cls=2, write=True)[1]] == [api.Refuse]
@@ -456,7 +458,7 @@
         _, (first,) = router.ask(f"k{n}", cls)
         for action in router.end(first, S.ERROR):
             if isinstance(action, api.Send):
-                one, two = (router.balancer.servers[name].member for name in sends([first, action]))
+                one, two = (router.balancer.fleet.servers[name].member for name in sends([first, action]))
                 assert getattr(one, same) == getattr(two, same)
             else:
                 assert type(action) is api.Fail
@@ -589,7 +591,7 @@
         _, (send,) = router.ask(f"t{n}")
         router.end(send, S.ERROR)
     router.wait(SECOND)
-    assert router.balancer.monitor.throttle is not None
+    assert router.balancer.gate.monitor.throttle is not None
 
 
 def test_refusals_tell_when_to_come_back_only_where_clients_are_told() -> None:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -9,7 +9,7 @@
 from support import settings as router_settings
 
 from rainhitch import interface as api
-from rainhitch.logic import Balancer
+from rainhitch.policy.balancer import Balancer
 
 GRACE = SECOND // 4
 MICRO = 1000
--- a/tests/test_throttle.py
+++ b/tests/test_throttle.py
@@ -4,7 +4,8 @@
 from hypothesis import strategies as st
 
 from rainhitch.interface import Request, RequestClass
-from rainhitch.logic import FEW_TOKENS, LEAST_TOTAL, Job, Throttle
+from rainhitch.policy.jobs import Job
+from rainhitch.policy.throttle import FEW_TOKENS, LEAST_TOTAL, Throttle
 
 SECOND = 1_000_000_000
 SPEC = RequestClass(aim=SECOND, deadline=2 * SECOND)
