Give the router a command line and the operator's own file, each loaded only when used

A product needs subcommands and a place for its operators' settings; the router itself must not grow by them. python -m rainhitch without arguments is the router as before (node/service.py), anything else goes to cli/. The operator's file is read strictly by tables.py: one line for each bad key, with its value and what is allowed, exit code 2; four settings are wired. Codecs move to protocol/, tests into folders like the package's.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements: each prints ratios taken side by side in one run. Not part of the checks."""
--- a/rainhitch/__init__.py
+++ b/rainhitch/__init__.py
@@ -1,1 +1,3 @@
-"""Decisions of a router in front of cache servers that share one slow origin."""
+"""A router in front of cache servers that share one slow origin, and the kit that rehearses its days."""
+
+__version__ = "0.2.0"
--- /dev/null
+++ b/rainhitch/cli/__init__.py
@@ -0,0 +1,32 @@
+"""The command line: subcommands, each loaded only when it is called."""
+
+import argparse
+import importlib
+from collections.abc import Sequence
+
+from rainhitch import __version__
+
+# name: the module that holds `fill(parser)` and `run(arguments) -> exit code`, and what it is for
+COMMANDS = {"rehearse": ("rainhitch.cli.rehearse", "play a day with real routers in a world of stand-ins")}
+
+
+def run(words: Sequence[str]) -> int:
+    """Runs what the words say; gives the exit code."""
+    parser = argparse.ArgumentParser(
+        prog="rainhitch",
+        description="A router in front of cache servers that share one slow origin. "
+        "Without arguments it is the router, configured by BALANCER_CONFIG.",
+    )
+    parser.add_argument("--version", action="version", version=f"rainhitch {__version__}")
+    commands = parser.add_subparsers(dest="command", metavar="COMMAND")
+    for name, (module, help_text) in COMMANDS.items():
+        under = commands.add_parser(name, help=help_text, add_help=name != words[0])
+        if name == words[0]:
+            under = commands.choices[name]
+            under.add_argument("-h", "--help", action="help", help="show this help")
+            importlib.import_module(module).fill(under)
+    told = parser.parse_args(words)
+    if told.command is None:
+        parser.print_help()
+        return 2
+    return int(importlib.import_module(COMMANDS[told.command][0]).run(told))
--- a/rainhitch/node/caches.py
+++ b/rainhitch/node/caches.py
@@ -4,9 +4,9 @@
 import time
 
 from rainhitch.interface import Status
-from rainhitch.node import resp
 from rainhitch.node.call import Ending, Exchange
 from rainhitch.node.pool import Connection, Pool
+from rainhitch.protocol import resp
 
 NOTES = {b"hit": 1, b"miss": 2, b"pending": 3}
 
--- a/rainhitch/node/clients.py
+++ b/rainhitch/node/clients.py
@@ -8,10 +8,10 @@
 from collections.abc import Callable
 from typing import cast
 
-from rainhitch.node import resp
 from rainhitch.node.call import CallError, read_call
 from rainhitch.node.driver import Driver, Held
 from rainhitch.node.pool import readable
+from rainhitch.protocol import resp
 from rainhitch.settings import Names
 
 MOST_PIPELINED = 32  # commands of one connection in work; those behind wait unread
@@ -91,7 +91,7 @@
 
     def pause_writing(self) -> None:
         self.blocked = True
-        self.stuck = self.server.loop.call_later(STUCK, self.abort)
+        self.stuck = self.server.loop.call_later(self.server.unread_s, self.abort)
         self._steer()
 
     def resume_writing(self) -> None:
@@ -277,6 +277,7 @@
         self.awaited: dict[Client, float] = {}
         self.idle: dict[Client, float] = {}
         self.lingering: dict[Client, float] = {}
+        self.idle_s, self.unfinished_s, self.unread_s = SPARED, UNFINISHED, STUCK  # the operator's to change
         self.buffered = 0  # bytes that clients have not finished sending or reading
         self.can_serve: Callable[[], bool] = lambda: False
         self.more: Callable[[], int] = lambda: most  # the cap while the servers' side leaves its part unused
@@ -321,7 +322,7 @@
 
     def _spent(self, group: dict[Client, float]) -> list[Client]:
         """Who was spared long enough and has nothing open, on its way or unread; longest first."""
-        before, spent = self.loop.time() - SPARED, []
+        before, spent = self.loop.time() - self.idle_s, []
         for client, since in group.items():
             if since > before:
                 break
@@ -357,7 +358,7 @@
     def _sweep(self) -> None:
         """Guards against clients that connect and say nothing, stop half-way or dribble."""
         now = self.loop.time()
-        for client in [one for one, since in self.awaited.items() if since < now - UNFINISHED]:
+        for client in [one for one, since in self.awaited.items() if since < now - self.unfinished_s]:
             client.overdue()
         if len(self.open) > self.most // 2:
             # Guards clients against a lack of connections of their own, long before the cap is reached.
--- a/rainhitch/node/discovery.py
+++ b/rainhitch/node/discovery.py
@@ -12,9 +12,9 @@
 
 from rainhitch import interface as api
 from rainhitch.node.caches import CacheConnection
-from rainhitch.node.http1 import Answer, Http, HttpError
 from rainhitch.node.origin import OriginConnection
 from rainhitch.node.pool import Endpoint, Pools
+from rainhitch.protocol.http1 import Answer, Http, HttpError
 from rainhitch.settings import Json, Names
 
 HOLD = 5.0  # s that a watch may be held; one that is silent for longer has failed
--- a/rainhitch/node/driver.py
+++ b/rainhitch/node/driver.py
@@ -8,10 +8,10 @@
 from dataclasses import dataclass
 
 from rainhitch import interface as api
-from rainhitch.node import resp
 from rainhitch.node.call import Call, Ending, Exchange
 from rainhitch.node.pool import Connection, Pools
 from rainhitch.policy.balancer import Balancer
+from rainhitch.protocol import resp
 
 MILLI = 1_000_000
 SECOND = 1_000_000_000
--- a/rainhitch/node/origin.py
+++ b/rainhitch/node/origin.py
@@ -4,9 +4,9 @@
 
 from rainhitch.interface import Status
 from rainhitch.node.call import Ending, Exchange
-from rainhitch.node.http1 import Answer, Http, HttpError
 from rainhitch.node.pool import Connection, Pool
-from rainhitch.node.resp import MOST_VALUE
+from rainhitch.protocol.http1 import Answer, Http, HttpError
+from rainhitch.protocol.resp import MOST_VALUE
 
 
 def ending_of(answer: Answer) -> Ending | None:
--- a/rainhitch/node/pool.py
+++ b/rainhitch/node/pool.py
@@ -227,11 +227,16 @@
     def __init__(self, most: int, dial_timeout: float, keepalive: float) -> None:
         self.most, self.dial_timeout = most, dial_timeout
         self.left: Callable[[], int] = lambda: most  # descriptors that the clients leave to this side
-        self.idle_most = min(IDLE_MOST, keepalive * IDLE_PART)
+        self.keepalive = keepalive
+        self.hold_idle(IDLE_MOST)
         self.pools: dict[str, Pool] = {}
         self.leaving: list[Pool] = []  # replaced, with attempts still out
         self.sweeping = False
 
+    def hold_idle(self, seconds: float) -> None:
+        """Sets for how long a connection may be idle; a server's keepalive bounds it."""
+        self.idle_most = min(seconds, self.keepalive * IDLE_PART)
+
     def add(self, name: str, endpoint: Endpoint, make: Callable[[Pool], Connection]) -> Pool:
         """The pool of a server; one at another endpoint takes the place of the old."""
         pool = self.pools.get(name)
--- /dev/null
+++ b/rainhitch/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Codecs without sockets or clocks."""
--- /dev/null
+++ b/tests/ground/test_tables.py
@@ -0,0 +1,127 @@
+"""The operator's file: every wrong key is one line that names key, value and what is allowed."""
+
+import os
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from program import ROOT, configuration
+
+from rainhitch.operator import Operator, read_operator
+from rainhitch.tables import TableError, load, read
+
+EXAMPLE = ROOT / "deploy" / "operator.example.toml"
+
+
+def written(tmp_path: Path, text: str) -> Path:
+    path = tmp_path / "operator.toml"
+    path.write_text(text)
+    return path
+
+
+def test_the_example_shows_each_key_with_its_default() -> None:
+    told = load(EXAMPLE)
+    assert read_operator(EXAMPLE) == Operator()
+    assert {name: set(table) for name, table in told.items()} == {
+        "clients": {"idle_s", "unfinished_s", "unread_s"},
+        "servers": {"idle_s"},
+    }
+
+
+def test_an_empty_file_means_all_defaults(tmp_path: Path) -> None:
+    assert read_operator(written(tmp_path, "")) == Operator()
+
+
+@pytest.mark.parametrize(
+    ("text", "key", "value", "allowed"),
+    [
+        ("[clients]\nidles = 3", "clients.idles", "3", "no such key; allowed: idle_s"),
+        ("[clients]\nidle_s = 'long'", "clients.idle_s", "'long'", "a number from 0.5 to 3600"),
+        ("[clients]\nidle_s = true", "clients.idle_s", "True", "a number"),
+        ("[servers]\nidle_s = 0", "servers.idle_s", "0", "a number from 0.1 to 3600"),
+        ("[servers]\nidle_s = nan", "servers.idle_s", "nan", "a number"),
+        ("servers = 3", "servers", "3", "a table"),
+        ("[nothing]\na = 1", "nothing", "{'a': 1}", "no such key; allowed: clients, servers"),
+    ],
+)
+def test_a_bad_key_is_one_line(tmp_path: Path, text: str, key: str, value: str, allowed: str) -> None:
+    path = written(tmp_path, text)
+    with pytest.raises(TableError) as raised:
+        read_operator(path)
+    (line,) = raised.value.lines
+    assert line.startswith(f"{path}: {key} = {value}: ") and allowed in line
+
+
+def test_each_bad_key_has_its_line(tmp_path: Path) -> None:
+    with pytest.raises(TableError) as raised:
+        read_operator(written(tmp_path, "x = 1\n[clients]\nidle_s = -1\nunread_s = []"))
+    assert len(raised.value.lines) == 3
+
+
+@pytest.mark.parametrize("raw", [b"[clients", b"a = 1\na = 2", b"\xff\xfe"])
+def test_what_is_no_toml_is_one_line(tmp_path: Path, raw: bytes) -> None:
+    path = tmp_path / "operator.toml"
+    path.write_bytes(raw)
+    with pytest.raises(TableError) as raised:
+        read_operator(path)
+    assert len(raised.value.lines) == 1 and "\n" not in raised.value.lines[0]
+
+
+VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=8), inner, max_size=3),
+    max_leaves=8,
+)
+
+
+@given(st.dictionaries(st.sampled_from(["clients", "servers", "x"]), VALUES))
+def test_whatever_stands_there_is_taken_or_told_in_one_line_each(source: dict[str, Any]) -> None:
+    problems: list[str] = []
+    told = read(Operator, source, "f", problems)
+    assert (told is None) == bool(problems)
+    assert all("\n" not in line and line.startswith("f: ") for line in problems)
+
+
+def program(env: dict[str, str], *words: str) -> subprocess.CompletedProcess[str]:
+    return subprocess.run(
+        [sys.executable, "-m", "rainhitch", *words],
+        env=env,
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=60,
+    )
+
+
+def test_the_router_ends_on_a_bad_file_with_a_line_for_each_key(tmp_path: Path) -> None:
+    path = written(tmp_path, "[clients]\nidle_s = 0\nunread_s = 0")
+    ended = program({**configuration(tmp_path), "RAINHITCH_OPERATOR": str(path)})
+    lines = ended.stderr.splitlines()
+    assert ended.returncode == 2 and len(lines) == 2
+    assert all(line.startswith(f"rainhitch: {path}: clients.") for line in lines)
+
+
+def test_the_router_ends_on_a_file_that_is_named_and_not_there(tmp_path: Path) -> None:
+    ended = program({**configuration(tmp_path), "RAINHITCH_OPERATOR": str(tmp_path / "none.toml")})
+    assert ended.returncode == 2 and ended.stderr.count("\n") == 1 and "No such file" in ended.stderr
+
+
+def test_the_command_line_tells_its_version_and_its_commands() -> None:
+    assert program(dict(os.environ), "--version").stdout == "rainhitch 0.2.0\n"
+    shown = program(dict(os.environ), "--help")
+    assert shown.returncode == 0 and "rehearse" in shown.stdout
+    unknown = program(dict(os.environ), "dance")
+    assert unknown.returncode == 2 and "dance" in unknown.stderr
+
+
+def test_a_router_imports_nothing_of_the_kit_the_command_line_or_the_operators_file() -> None:
+    code = "import sys, rainhitch.__main__, rainhitch.node.service; print(*sys.modules)"
+    shown = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, timeout=60)
+    loaded = set(shown.stdout.split())
+    assert "rainhitch.node.driver" in loaded, shown.stderr
+    kit = ("rainhitch.cli", "rainhitch.rehearsal", "rainhitch.operator", "rainhitch.tables")
+    assert not [name for name in loaded if name.startswith((*kit, "tomllib", "rich", "argparse"))]
--- a/tests/test_discovery.py
+++ b/tests/node/test_discovery.py
@@ -11,6 +11,7 @@
 
 import pytest
 from peers import PATIENCE, Cache, Caller, Web, entry, hit, http, info, router, soon
+from program import ROOT, configuration, listing, started
 
 from rainhitch import interface as api
 from rainhitch.node import discovery, pool
@@ -18,18 +19,12 @@
 from rainhitch.node.pool import Pools
 from rainhitch.settings import read_names
 
-ROOT = Path(__file__).parent.parent
-
 
 def directory() -> tuple[Directory, list[api.Members]]:
     told: list[api.Members] = []
     return Directory(read_names(info()), 1, Pools(64, 0.25, 60.0), told.append), told
 
 
-def listing(rev: int, *entries: Any, whole: bool = True) -> dict[str, Any]:
-    return {"rev": rev, "all": whole, "targets": list(entries)}
-
-
 async def test_a_list_is_told_with_names_as_indexes_and_start_times_on_the_clock() -> None:
     one, told = directory()
     boot = time.time_ns() // 1_000_000 - 1000
@@ -171,18 +166,6 @@
     await web.stop()
 
 
-def configuration(tmp_path: Path, **changes: Any) -> dict[str, str]:
-    told = {
-        "listen": "127.0.0.1:0",
-        "discovery": "127.0.0.1:1",
-        "seed": "8c1f30d27a5be964",
-        "settings": info(),
-    }
-    path = tmp_path / "config.json"
-    path.write_text(json.dumps({**told, **changes}))
-    return {**os.environ, "BALANCER_CONFIG": str(path)}
-
-
 async def program(env: dict[str, str]) -> asyncio.subprocess.Process:
     return await asyncio.create_subprocess_exec(
         sys.executable, "-m", "rainhitch", env=env, cwd=ROOT, stderr=asyncio.subprocess.PIPE
@@ -226,16 +209,6 @@
         assert lines.startswith(b"rainhitch: ") and lines.count(b"\n") == 1
 
 
-async def started(running: asyncio.subprocess.Process) -> tuple[str, int]:
-    """Waits for the line that tells where the program listens."""
-    assert running.stderr is not None
-    async with asyncio.timeout(PATIENCE):
-        while b"listening on " not in (line := await running.stderr.readline()):
-            assert line
-    host, _, port = line.decode().strip().rsplit(" ", 1)[1].rpartition(":")
-    return host, int(port)
-
-
 async def test_the_program_serves_and_on_sigterm_answers_what_it_holds(tmp_path: Path) -> None:
     cache = Cache(lambda asked, line: None if asked[2] == b"slow" else hit())
     await cache.start()
--- a/tests/test_growth.py
+++ b/tests/node/test_growth.py
@@ -13,7 +13,7 @@
 
 import pytest
 from peers import MISS, PATIENCE, Bench, Cache, Caller, Web, entry, hit, router, soon
-from test_discovery import ROOT, configuration, listing, started
+from program import ROOT, configuration, listing, started
 
 from rainhitch.node import pool
 from rainhitch.node.call import Call, Exchange
--- a/tests/test_hostile.py
+++ b/tests/node/test_hostile.py
@@ -7,8 +7,9 @@
 import pytest
 from peers import FETCHED, MISS, Bench, Cache, Web, entry, hit, http, info, router, soon
 
-from rainhitch.node import clients, pool, resp
+from rainhitch.node import clients, pool
 from rainhitch.node.call import CallError, read_call
+from rainhitch.protocol import resp
 from rainhitch.settings import read_names
 
 INFO = b"c=read,t=acme,d=9000"
--- a/tests/test_router.py
+++ b/tests/node/test_router.py
@@ -10,9 +10,10 @@
 from peers import MISS, Cache, Web, entry, hit, http, router, soon
 
 from rainhitch import interface as api
-from rainhitch.node import pool, resp
+from rainhitch.node import pool
 from rainhitch.node.call import Call, Exchange
 from rainhitch.node.driver import WAY_BACK, Held
+from rainhitch.protocol import resp
 
 INFO = b"c=read,t=acme,d=9000"
 
--- a/tests/test_docs.py
+++ b/tests/pages/test_docs.py
@@ -9,7 +9,7 @@
 
 from rainhitch import interface as api
 
-ROOT = Path(__file__).parent.parent
+ROOT = Path(__file__).parents[2]
 
 
 def test_the_example_in_the_readme_prints_what_it_says() -> None:
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -12,7 +12,7 @@
 from rainhitch.node.discovery import Directory
 from rainhitch.node.driver import Driver
 from rainhitch.node.pool import Pools
-from rainhitch.node.resp import command
+from rainhitch.protocol.resp import command
 from rainhitch.settings import read_ceilings, read_names, read_settings
 
 PATIENCE = 20.0  # s; every wait of these tests is on an event, and this long at the most
