--- /dev/null
+++ b/rainhitch/cli/rehearse.py
@@ -0,0 +1,186 @@
+"""`rainhitch rehearse`: plays scenarios, proves the judge, makes reports anew from records."""
+
+import argparse
+import asyncio
+import contextlib
+import shutil
+import signal
+import sys
+from collections.abc import Coroutine
+from pathlib import Path
+from typing import Any
+
+from rainhitch.tables import TableError
+
+Json = dict[str, Any]
+BAD_INPUT, INTERRUPTED = 2, 130
+
+
+def fill(parser: argparse.ArgumentParser) -> None:
+    parser.description = (
+        "Plays a day on this machine: real router processes, stand-ins for the world around them, "
+        "faults on cue, and a judge. "
+        "Exit codes: 0 all held, 1 a rule was broken or an expectation failed, 2 bad input, 3 void."
+    )
+    parser.add_argument("target", nargs="*", metavar="NAME|FILE.toml|report DIR")
+    parser.add_argument("--list", action="store_true", help="the shipped scenarios")
+    parser.add_argument("--prove", action="store_true", help="show that the judge sees each broken rule")
+    parser.add_argument("--seed", type=int, default=1, help="what the day is drawn from (1)")
+    parser.add_argument("--routers", type=int, help="how many routers, in place of the scenario's")
+    parser.add_argument(
+        "--router", metavar="COMMAND", help="what starts a router; `plain` is the kit's yardstick"
+    )
+    parser.add_argument("--json", metavar="FILE", type=Path, help="write the whole report there")
+    parser.add_argument("--records", metavar="DIR", type=Path, help="keep the ledgers there")
+    parser.add_argument(
+        "--repeat", metavar="K", type=int, default=1, help="play it K times, and tell the spread"
+    )
+
+
+def run(told: argparse.Namespace) -> int:
+    try:
+        return _run(told)
+    except TableError as problem:
+        for line in problem.lines:
+            print(f"rainhitch: {line}", file=sys.stderr)
+        return BAD_INPUT
+    except ModuleNotFoundError as problem:
+        print(f"rainhitch: {problem.name} is missing: install rainhitch[rehearsal]", file=sys.stderr)
+        return BAD_INPUT
+
+
+def _bad(line: str) -> int:
+    print(f"rainhitch: {line}", file=sys.stderr)
+    return BAD_INPUT
+
+
+def _run(told: argparse.Namespace) -> int:
+    from rainhitch.rehearsal import report, scenario
+
+    if told.list:
+        for name, path in scenario.shipped().items():
+            print(f"{name:28} {scenario.read_scenario(path).about}")
+        return 0
+    if told.prove:
+        return _interruptible(_prove(told.seed))
+    if told.target[:1] == ["report"] and len(told.target) == 2:
+        try:
+            made = report.from_records(Path(told.target[1]))
+        except report.RecordsError as problem:
+            return _bad(str(problem))
+        _show(made, told.json)
+        return int(made["exit"])
+    if len(told.target) != 1:
+        return _bad("one scenario is wanted: NAME, FILE.toml, or `report DIR`; --list names the shipped ones")
+    if told.repeat < 1:
+        return _bad(f"--repeat {told.repeat}: allowed is 1 or more")
+    return _play(told)
+
+
+def _play(told: argparse.Namespace) -> int:
+    from rainhitch.rehearsal import play, scenario
+    from rainhitch.rehearsal.routers import StageError, command_of
+    from rainhitch.rehearsal.stage import check_descriptors
+
+    path = scenario.find(told.target[0])
+    changes = {} if told.routers is None else {"fleet.routers": told.routers}
+    day = scenario.read_scenario(path, changes)
+    try:
+        for file in [told.json, told.records]:
+            if file is not None:
+                _writable(file)
+        words = play.our_router()
+        if told.router is not None:
+            words = play.plain_router() if told.router == "plain" else command_of(told.router)
+        check_descriptors(day)
+        return _interruptible(_repeat(told, day, path.stem, words))
+    except StageError as problem:
+        return _bad(str(problem))
+
+
+def _writable(file: Path) -> None:
+    from rainhitch.rehearsal.routers import StageError
+
+    if not file.absolute().parent.is_dir():
+        raise StageError(f"{file}: its folder does not exist")
+
+
+def _interruptible(what: Coroutine[Any, Any, int]) -> int:
+    """Runs it; Ctrl-C and SIGTERM end it in good order, with all that it started."""
+
+    async def whole() -> int:
+        task = asyncio.ensure_future(what)
+        for one in (signal.SIGINT, signal.SIGTERM):
+            asyncio.get_running_loop().add_signal_handler(one, task.cancel)
+        with contextlib.suppress(asyncio.CancelledError):
+            return await task
+        print("rainhitch: interrupted; all that was started has ended", file=sys.stderr)
+        return INTERRUPTED
+
+    return asyncio.run(whole())
+
+
+async def _repeat(told: argparse.Namespace, day: Any, name: str, words: list[str]) -> int:
+    from rainhitch.rehearsal import play, report
+
+    made: list[Json] = []
+    for number in range(told.repeat):
+        records = told.records
+        if records is not None and told.repeat > 1:
+            records = records / str(number + 1)
+        made.append(await play.play(day, name, told.seed, words, _progress(day), records))
+        if sys.stderr.isatty():
+            print("\r\x1b[K", end="", file=sys.stderr)
+        if told.repeat > 1:
+            one = made[-1]
+            print(f"{number + 1}: service {one['service']:.4f} score {one['score']:.4f} rules {one['rules']}")
+    if told.repeat == 1:
+        _show(made[0], told.json)
+    else:
+        services = [one["service"] for one in made]
+        print(f"spread of service over {told.repeat} plays: {max(services) - min(services):.4f}")
+        if told.json is not None:
+            told.json.write_bytes(b"[" + b",".join(report.as_json(one) for one in made) + b"]\n")
+    return max(int(one["exit"]) for one in made)
+
+
+def _progress(day: Any) -> Any:
+    """A line that tells how far the day is and what acts, on a terminal."""
+    shown = sys.stderr.isatty()
+
+    def tell(at: float, row: Json) -> None:
+        if shown:
+            acting = ", ".join(one.kind for one in day.faults if one.at_s <= at <= one.until_s)
+            crashes = f"  crashed: {row['crashes']}" if row["crashes"] else ""
+            when = f"{max(at, 0):4.1f} of {day.day.length_s:g} s" if at >= 0 else "prelude"
+            print(f"\r\x1b[K{when}  {acting}{crashes}", end="", file=sys.stderr, flush=True)
+
+    return tell
+
+
+def _show(made: Json, file: Path | None) -> None:
+    from rainhitch.rehearsal import report
+
+    width = min(120, shutil.get_terminal_size((100, 24)).columns)
+    print(report.as_text(made, width, sys.stdout.isatty()), end="")
+    if file is not None:
+        file.write_bytes(report.as_json(made))
+
+
+async def _prove(seed: int) -> int:
+    from rainhitch.rehearsal import play
+    from rainhitch.rehearsal.plain import MODES
+
+    def say(mode: str, wrong: str, made: Json) -> None:
+        seen = next((one["what"] for one in made["breaches"]), "no breach")
+        late = " (void: the rig ran late)" if made["exit"] == 3 else ""
+        print(f"{'WRONG' if wrong else 'ok':6}{mode:18}{wrong or seen}{late}", flush=True)
+
+    code = await play.prove(list(MODES), say, seed)
+    held = {
+        0: "each is caught by its own rule, and no good one is accused",
+        1: "the judge is wrong",
+        3: "void",
+    }
+    print(held[code])
+    return code
--- /dev/null
+++ b/rainhitch/rehearsal/faults.py
@@ -0,0 +1,104 @@
+"""The kinds of faults, what each needs, and which of them can't stand together."""
+
+from dataclasses import dataclass
+
+from rainhitch import tables
+
+# kind: what of `room`, `node`, `router` it needs, and which of the other keys it heeds
+KINDS: dict[str, tuple[str, ...]] = {
+    "room-loss": ("room", "for_s", "routers"),
+    "partition": ("room", "for_s"),
+    "hot-keys": ("for_s", "share", "keys"),
+    "key-flood": ("for_s", "share"),
+    "list-late": ("for_s", "delay_s"),
+    "list-silent": ("for_s",),
+    "messages-lost": ("for_s", "share"),
+    "messages-late": ("for_s", "delay_s"),
+    "database-slow": ("for_s", "factor"),
+    "database-stop": ("for_s",),
+    "node-kill": ("node", "for_s"),
+    "node-drain": ("node", "for_s", "away_s"),
+    "node-silent": ("node", "for_s"),
+    "node-spoil": ("node", "for_s", "share"),
+    "link-delay": ("router", "node", "for_s", "delay_s"),
+    "link-silent": ("router", "node", "for_s"),
+    "link-reset": ("router", "node"),
+    "router-kill": ("router", "for_s"),
+    "router-restart": ("router",),
+    "router-reload": ("router",),
+    "surge": ("router", "for_s", "share"),
+}
+PLACES = ("room", "node", "router")
+
+
+@dataclass(slots=True)
+class Fault:
+    kind: str = tables.text(tables.REQUIRED, "what goes wrong", tuple(KINDS))
+    at_s: float = tables.number(tables.REQUIRED, 0, 3600, "when, from the first scored second")
+    for_s: float = tables.number(0.0, 0, 3600, "for how long")
+    room: str = tables.text("", "which room")
+    node: str = tables.text("", "which node: ROOM-NUMBER")
+    router: int = tables.whole(-1, 0, 63, "which router, from 0")
+    routers: bool = tables.flag(True, "room-loss: its routers too")
+    share: float = tables.number(0.1, 0, 1, "of all traffic, reads, messages or answers")
+    keys: int = tables.whole(2, 1, 100, "hot-keys: how many")
+    away_s: float = tables.number(0.0, 0, 3600, "node-drain: gone so long, then back cold; 0: for good")
+    factor: float = tables.number(4.0, 1, 1000, "database-slow: how many times slower")
+    delay_s: float = tables.number(1.0, 0, 600, "how late")
+
+    @property
+    def until_s(self) -> float:
+        return self.at_s + self.for_s
+
+    @property
+    def place(self) -> str:
+        """Where it acts, in a word."""
+        of_router = [f"router {self.router}"] if "router" in KINDS[self.kind] else []
+        return " ".join(of_router + [one for one in (self.room, self.node) if one]) or "all"
+
+
+def check_faults(
+    faults: list[Fault], rooms: list[str], nodes: list[str], routers: int, length_s: float
+) -> list[str]:
+    """One line for each fault that acts nowhere, never, or on what another has taken away."""
+    lines = []
+    for number, one in enumerate(faults):
+        at, needs = f"faults[{number}]", KINDS[one.kind]
+        for key, value, names in (("room", one.room, rooms), ("node", one.node, nodes)):
+            if key in needs and value not in names:
+                lines.append(f"{at}.{key} = {value!r}: allowed is one of {', '.join(names)}")
+            elif key not in needs and value:
+                lines.append(f"{at}.{key} = {value!r}: {one.kind} has no {key}")
+        if "router" in needs and not 0 <= one.router < routers:
+            lines.append(f"{at}.router = {one.router}: allowed is a whole number from 0 to {routers - 1}")
+        elif "router" not in needs and one.router >= 0:
+            lines.append(f"{at}.router = {one.router}: {one.kind} has no router")
+        if "for_s" in needs and one.for_s <= 0:
+            lines.append(f"{at}.for_s = {one.for_s:g}: {one.kind} needs a time over 0")
+        if one.at_s >= length_s:
+            lines.append(f"{at}.at_s = {one.at_s:g}: allowed is less than the day's {length_s:g}")
+    for number, one in enumerate(faults):
+        for other in range(number):
+            two = faults[other]
+            if one.at_s < two.until_s and two.at_s < one.until_s and _clash(one, two):
+                lines.append(
+                    f"faults[{number}] ({one.kind} of {one.place}) overlaps faults[{other}] ({two.kind}): "
+                    "what is gone can't go again"
+                )
+    return lines
+
+
+def _clash(one: Fault, two: Fault) -> bool:
+    """Whether two overlapping faults take away the same process."""
+    if one.kind == two.kind == "room-loss":
+        return one.room == two.room
+    if one.kind == two.kind and one.kind in ("partition", "database-stop", "list-silent"):
+        return one.room == two.room
+    taking = ("node-kill", "node-drain")
+    if one.kind in taking and two.kind in taking:
+        return one.node == two.node
+    for room, other in ((one, two), (two, one)):
+        if room.kind == "room-loss" and other.kind in taking:
+            return other.node.rsplit("-", 1)[0] == room.room
+    ends = ("router-kill", "router-restart")
+    return one.kind in ends and two.kind in ends and one.router == two.router
--- /dev/null
+++ b/rainhitch/rehearsal/routers.py
@@ -0,0 +1,270 @@
+"""The routers of a day: real processes, started, killed, restarted and reloaded on cue, and watched."""
+
+import asyncio
+import contextlib
+import os
+import resource
+import shlex
+import shutil
+import signal
+import socket
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from rainhitch.rehearsal.scenario import Scenario
+
+Json = dict[str, Any]
+READY_WITHIN = 30.0  # s from the start until it answers PING
+ENDS_WITHIN = 5.7  # s after SIGTERM: the longest deadline, 5 s, and 0.7 s more
+LAST_LINES = 5
+MILLI = 1_000_000
+
+
+class StageError(Exception):
+    """The day can't be played as asked; one line says why."""
+
+
+def command_of(text: str) -> list[str]:
+    """The words of a router's command; raises StageError for one that can't be started."""
+    try:
+        words = shlex.split(text)
+    except ValueError as problem:
+        raise StageError(f"--router {text!r}: {problem}") from None
+    words = words[1:] if words[:1] == ["exec"] else words
+    if not words or shutil.which(words[0]) is None:
+        raise StageError(f"--router {text!r}: no such command")
+    return words
+
+
+def settings(scenario: Scenario, number: int) -> Json:
+    """The settings that a router of this fleet is told, in the platform's form; durations in nanoseconds."""
+    fleet, customers = scenario.fleet, scenario.customers
+    kinds = [one.name for one in fleet.nodes]
+    whole = sum(one.share for one in customers) or 1.0
+    quota = scenario.traffic.quota_rps / whole
+    return {
+        "azs": fleet.rooms,
+        "balancers": fleet.routers,
+        "ceilings": {
+            "attemptsCap": 5,
+            "cancel": True,
+            "dialTimeout": 250 * MILLI,
+            "keepalive": int(fleet.keepalive_s * 1e9),
+            "maxRetryAfter": 2000 * MILLI,
+            "mayDuplicate": False,
+            "mayTell": True,
+            "mostHeld": 20000,
+            "probing": True,
+            "retryAfter": False,
+            "streamsPerConn": 100,
+        },
+        "classes": [
+            {
+                "name": one.name,
+                "aim": int(one.aim_ms * MILLI),
+                "deadline": int(one.deadline_ms * MILLI),
+                "gain": one.worth,
+                "lateWorth": one.late_worth,
+                "effect": one.repeats,
+                "group": "all",
+                "repeatWindow": int(one.window_s * 1e9),
+                "stream": False,
+            }
+            for one in scenario.classes
+        ],
+        "clients": {"marksRetry": True},
+        "domainType": "cache",
+        "hostTypes": [*kinds, "database"],
+        "me": number,
+        "myZone": fleet.rooms.index(scenario.router_room(number)),
+        "overShareWorth": scenario.traffic.over_share_worth,
+        "registryMode": "pushed",
+        "report": {"names": [], "via": "off"},
+        "safety": {
+            "answerSlack": 20 * MILLI,
+            "coldFrom": fleet.cold_from,
+            "fall": int(fleet.tip_s * 1e9),
+            "rampTime": int(fleet.warm_s * 1e9),
+            "stopSendingWithin": 1000 * MILLI,
+            "tipMultiple": fleet.tip_multiple,
+        },
+        "specifics": {"mode": "aside", "originKind": len(kinds), "originFallMultiple": 2.5},
+        "tenants": [
+            {"name": one.name, "fraction": one.share / whole, "quotaRps": one.share * quota}
+            for one in customers
+        ],
+        "tick": 5 * MILLI,
+        "weights": "nominal",
+    }
+
+
+def free_port() -> int:
+    with socket.socket() as one:
+        one.bind(("127.0.0.1", 0))
+        return int(one.getsockname()[1])
+
+
+@dataclass(eq=False)
+class Router:
+    """One router's process, through its starts and ends; `events` tells them with monotonic ns."""
+
+    number: int
+    words: list[str]
+    folder: Path
+    config: Json
+    memory: int  # bytes
+    sockets: int
+    events: list[tuple[str, int]] = field(default_factory=list)
+    process: asyncio.subprocess.Process | None = None
+    told: str = ""  # what the stage did to it last: start, kill, term
+    crash: Json | None = None
+    peak: int = 0  # bytes resident, at most
+
+    def __post_init__(self) -> None:
+        host, _, port = self.config["listen"].rpartition(":")
+        self.address = host, int(port)
+        self.log = self.folder / f"router-{self.number}.log"
+        self.watching: asyncio.Task[None] | None = None
+        self.ended = asyncio.Event()
+
+    def _note(self, what: str) -> None:
+        self.events.append((what, time.monotonic_ns()))
+
+    def last_lines(self) -> list[str]:
+        with contextlib.suppress(OSError):
+            return self.log.read_text(errors="replace").splitlines()[-LAST_LINES:]
+        return []
+
+    async def start(self) -> None:
+        path = self.folder / f"router-{self.number}.json"
+        path.write_bytes(orjson.dumps(self.config))
+        scratch = self.folder / f"router-{self.number}"
+        scratch.mkdir(exist_ok=True)
+        env = {
+            **os.environ,
+            "BALANCER_NAME": f"router-{self.number}",
+            "BALANCER_LISTEN": self.config["listen"],
+            "BALANCER_DISCOVERY": self.config["discovery"],
+            "BALANCER_CONFIG": str(path),
+            "TMPDIR": str(scratch),
+        }
+        self.told = "start"
+        self.ended.clear()
+        with self.log.open("ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                *self.words,
+                env=env,
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+                start_new_session=True,
+            )
+        self._note("start")
+        with contextlib.suppress(ProcessLookupError):
+            resource.prlimit(self.process.pid, resource.RLIMIT_NOFILE, (self.sockets, self.sockets))
+        self.watching = asyncio.get_running_loop().create_task(self._watch(self.process))
+
+    async def ready(self) -> bool:
+        """Waits until it answers PING; False: it ended, or took too long."""
+        try:
+            async with asyncio.timeout(READY_WITHIN):
+                while not self.ended.is_set():
+                    if await self._pong():
+                        self._note("ready")
+                        return True
+                    await asyncio.sleep(0.02)
+        except TimeoutError:
+            pass
+        return False
+
+    async def _pong(self) -> bool:
+        try:
+            async with asyncio.timeout(1.0):
+                reader, writer = await asyncio.open_connection(*self.address)
+                writer.write(b"*1\r\n$4\r\nPING\r\n")
+                answer = await reader.readline()
+                writer.close()
+                return answer == b"+PONG\r\n"
+        except (OSError, TimeoutError):
+            return False
+
+    async def _watch(self, process: asyncio.subprocess.Process) -> None:
+        """Notes its end, and ends it where it takes more memory than it may."""
+        waiting = asyncio.ensure_future(process.wait())
+        while not waiting.done():
+            await asyncio.wait([waiting], timeout=0.2)
+            held = resident(process.pid)
+            self.peak = max(self.peak, held)
+            if held > self.memory and not waiting.done():
+                self._crashed(f"killed over its memory: {held >> 20} MB of {self.memory >> 20}")
+                self._signal(signal.SIGKILL)
+        self._note("ended")
+        self.ended.set()
+        code = process.returncode
+        if self.told == "start" or (self.told == "term" and code != 0):
+            self._crashed(
+                f"ended with {code}" if self.told == "start" else f"ended with {code} after SIGTERM"
+            )
+
+    def _crashed(self, why: str) -> None:
+        if self.crash is None:
+            self.crash = {
+                "router": self.number,
+                "at": time.monotonic_ns(),
+                "why": why,
+                "log": self.last_lines(),
+            }
+
+    def _signal(self, number: signal.Signals) -> None:
+        if self.process is not None and self.process.returncode is None:
+            with contextlib.suppress(ProcessLookupError):
+                if number is signal.SIGKILL:
+                    os.killpg(self.process.pid, number)
+                else:
+                    self.process.send_signal(number)
+
+    async def kill(self) -> None:
+        """As a machine that dies: no warning."""
+        if not self.ended.is_set():
+            self.told = "kill"
+            self._note("kill")
+            self._signal(signal.SIGKILL)
+            await self.ended.wait()
+
+    async def stop(self) -> None:
+        """SIGTERM, and SIGKILL for one that does not end in time: that is a finding."""
+        if self.process is None or self.ended.is_set():
+            return
+        self.told = "term"
+        self._note("term")
+        self._signal(signal.SIGTERM)
+        try:
+            async with asyncio.timeout(ENDS_WITHIN):
+                await self.ended.wait()
+        except TimeoutError:
+            self._crashed(f"did not end within {ENDS_WITHIN} s after SIGTERM")
+            self.told = "kill"
+            self._note("late kill")
+            self._signal(signal.SIGKILL)
+            await self.ended.wait()
+
+    def reload(self) -> None:
+        self._note("reload")
+        self._signal(signal.SIGHUP)
+
+    def end_now(self) -> None:
+        """When the stage itself ends: whatever runs is ended."""
+        self.told = "kill"
+        self._signal(signal.SIGKILL)
+
+
+def resident(pid: int) -> int:
+    """Bytes that a process holds in memory; 0 for one that is gone."""
+    try:
+        return int(Path(f"/proc/{pid}/statm").read_text().split()[1]) * resource.getpagesize()
+    except (OSError, IndexError, ValueError):
+        return 0
--- /dev/null
+++ b/rainhitch/rehearsal/scenario.py
@@ -0,0 +1,251 @@
+"""A scenario file: fleet, work, clients, and a timeline of faults. Strict, as the operator's file.
+
+Times are in seconds or milliseconds, as the key's end says; a range [a, b] is drawn from the seed. Defaults
+are those of the operators' own fleet, so that a file says only what its day is about.
+"""
+
+from collections import Counter
+from dataclasses import dataclass
+from importlib import resources
+from pathlib import Path
+
+from rainhitch import tables
+from rainhitch.rehearsal.faults import Fault, check_faults
+
+
+@dataclass(slots=True)
+class Day:
+    length_s: float = tables.number(16.0, 1, 3600, "how long clients come")
+    prelude_s: float = tables.number(
+        4.0, 0.5, 60, "before it: each warm key is read once, at no cost; not scored"
+    )
+    memory_mb: float = tables.number(192.0, 32, 65536, "of each router, which ends over it")
+    sockets: int = tables.whole(1024, 64, 1 << 20, "descriptors that each router may hold")
+
+
+@dataclass(slots=True)
+class NodeClass:
+    name: str = tables.text(tables.REQUIRED, "as the list names it")
+    count: int = tables.whole(1, 1, 1000, "how many, dealt to the rooms in turn")
+    cores: int = tables.whole(7, 1, 256, "cores at work")
+    speed: tuple[float, float] = tables.pair((0.85, 1.1), 0.01, 100, "of a core, drawn for each node")
+    slots_per_core: int = tables.whole(16, 1, 1024, "requests in work at once")
+    queue_per_core: float = tables.number(2.5, 0, 1024, "requests that wait; those beyond are turned away")
+    table_per_core: float = tables.number(13.0, 1, 10000, "connections that are held; others are turned away")
+
+
+def _classes() -> list[NodeClass]:
+    return [
+        NodeClass("full-node", 5, 7, (0.85, 1.1)),
+        NodeClass("small-node", 4, 6, (0.51, 0.69)),
+    ]
+
+
+@dataclass(slots=True)
+class Fleet:
+    rooms: list[str] = tables.texts(["neihu", "banqiao", "taoyuan"], "machine rooms")
+    routers: int = tables.whole(3, 1, 64, "dealt to the rooms in turn")
+    nodes: list[NodeClass] = tables.tables(NodeClass, "the classes of cache nodes", _classes)
+    memory_keys: int = tables.whole(300, 1, 1 << 20, "keys that a node holds; the least lately used go first")
+    connection_ms: tuple[float, float] = tables.pair(
+        (17, 28), 0, 10000, "work that a new connection costs a node"
+    )
+    probe_ms: tuple[float, float] = tables.pair((2.8, 5.6), 0, 10000, "work that a probe costs a node")
+    keepalive_s: float = tables.number(60.0, 0.5, 3600, "a node closes a connection that is idle for so long")
+    cold_from: float = tables.number(0.3, 0.01, 1, "part of its capacity that a node starts with")
+    warm_s: float = tables.number(8.7, 0.1, 600, "until it has all of it")
+    tip_multiple: float = tables.number(
+        3.0, 1, 100, "sent so many times its capacity, a cold node falls over"
+    )
+    tip_s: float = tables.number(1.0, 0.1, 60, "within so long")
+    error_rate: float = tables.number(0.0005, 0, 1, "answers that are errors")
+
+
+@dataclass(slots=True)
+class Database:
+    workers: int = tables.whole(9, 1, 1024, "requests in work at once")
+    time_ms: float = tables.number(120.0, 0.1, 60000, "mean time of one")
+    queue: int = tables.whole(60, 0, 100000, "requests that wait; those beyond are turned away")
+    stop_multiple: float = tables.number(2.5, 1, 100, "sent so many times its capacity it stops,")
+    stop_after_s: float = tables.number(3.0, 0.1, 600, "if for so long,")
+    stop_s: float = tables.number(5.0, 0.1, 600, "and for so long")
+
+
+@dataclass(slots=True)
+class WorkClass:
+    name: str = tables.text(tables.REQUIRED, "as requests name it")
+    share: float = tables.number(tables.REQUIRED, 0, 100, "of the traffic, by weight")
+    work_ms: float = tables.number(tables.REQUIRED, 0.1, 60000, "mean work of one, on a core of speed 1")
+    aim_ms: float = tables.number(tables.REQUIRED, 1, 600000, "answered in this time it is worth its full")
+    deadline_ms: float = tables.number(tables.REQUIRED, 1, 600000, "then the client gives up")
+    worth: float = tables.number(1.0, 0, 1000, "of one answered within its aim")
+    late_worth: float = tables.number(0.2, 0, 1, "part of it that a later answer earns")
+    repeats: str = tables.text("safe", "what a second execution does", ("safe", "keyed", "unsafe"))
+    window_s: float = tables.number(5.0, 0, 600, "keyed: for which repeats are dropped")
+    write: bool = tables.flag(False, "goes to the order database")
+
+
+def _work() -> list[WorkClass]:
+    return [
+        WorkClass("menu-read", 38, 115, 1200, 5000, 1.0, 0.25),
+        WorkClass("slot-read", 33, 115, 1000, 2000, 1.0, 0.5),
+        WorkClass("order-list", 21, 200, 1500, 5000, 1.0, 0.2),
+        WorkClass("order-place", 7.8, 87, 750, 2500, 1.0, 0.2, "keyed", 5.0, True),
+    ]
+
+
+@dataclass(slots=True)
+class Customer:
+    name: str = tables.text(tables.REQUIRED, "as requests name it")
+    share: float = tables.number(tables.REQUIRED, 0, 100, "of what the fleet is held for, by weight")
+    usage: float = tables.number(tables.REQUIRED, 0, 100, "how many times its share it sends")
+
+
+def _customers() -> list[Customer]:
+    small = ("xinzhu-textile", 0.72), ("taichung-tools", 0.8), ("linkou-logis", 0.71), ("yilan-foods", 0.75)
+    return [Customer("nangang-chip", 43, 2.8)] + [Customer(name, 14, usage) for name, usage in small]
+
+
+@dataclass(slots=True)
+class Traffic:
+    rate: float = tables.number(150.0, 0.1, 100000, "requests a second, first tries of all clients")
+    shape: str = tables.text("steady", "of the rate over the day", ("steady", "bursty", "wave"))
+    swing: float = tables.number(0.25, 0, 0.9, "how far bursts and waves go from the mean")
+    quota_rps: float = tables.number(
+        92.0, 0.1, 1e6, "requests a second within all customers' shares together"
+    )
+    over_share_worth: float = tables.number(0.05, 0, 1, "part of its worth that a request beyond a share has")
+    keys: int = tables.whole(6000, 1, 1 << 20, "different keys")
+    zipf: float = tables.number(1.0, 0, 3, "exponent of their popularity")
+    offset: float = tables.number(5.0, 0, 1000, "ranks by which the head is flattened")
+    drift: float = tables.number(0.0, 0, 1, "part of the ranks that change hands each second")
+    value_bytes: int = tables.whole(400, 64, 60000, "of a value")
+    room_skew: float = tables.number(0.0, 0, 0.9, "how much more the first room has than the mean")
+
+
+@dataclass(slots=True)
+class Clients:
+    retries: int = tables.whole(1, 0, 4, "further tries of a request that failed or was refused")
+    backoff_ms: tuple[float, float] = tables.pair((30, 240), 0, 60000, "before a further try")
+    honour: float = tables.number(0.9, 0, 1, "part of the clients that heed `-BUSY MS`")
+    give_up: tuple[float, float] = tables.pair((0.7, 1.0), 0.01, 1, "part of the deadline that a try waits")
+    impatient: float = tables.number(0.0, 0, 1, "part of the tries that leave early")
+    connections: str = tables.text(
+        "reused", "or a new one for each request, the old kept", ("reused", "kept")
+    )
+    idle_s: float = tables.number(30.0, 0.1, 3600, "a client closes a connection idle for so long")
+    most: int = tables.whole(
+        4000, 1, 100000, "connections that the clients of a room hold; one that is idle goes first"
+    )
+
+
+@dataclass(slots=True)
+class Front:
+    notice_s: tuple[float, float] = tables.pair(
+        (1.6, 3.9), 0, 600, "until a dead router gets no new connections"
+    )
+
+
+@dataclass(slots=True)
+class Discovery:
+    notice_s: tuple[float, float] = tables.pair(
+        (0.72, 3), 0, 600, "until the list tells of a process that died"
+    )
+    drain_s: tuple[float, float] = tables.pair((0.2, 1), 0, 600, "or drains")
+    add_s: tuple[float, float] = tables.pair((0.48, 1.8), 0, 600, "or came")
+    spread_ms: tuple[float, float] = tables.pair((14, 110), 0, 60000, "more, for each router apart")
+
+
+@dataclass(slots=True)
+class Messages:
+    delay_ms: tuple[float, float] = tables.pair((1.2, 31), 0, 60000, "of a datagram between routers")
+    loss: float = tables.number(0.0, 0, 1, "part of them that is lost")
+
+
+@dataclass(slots=True)
+class Expect:
+    service: float = tables.number(0.0, 0, 1, "at least")
+    score: float = tables.number(-10.0, -10, 1, "at least")
+    origin_stops: int = tables.whole(1000, 0, 1000, "at most: how often the database stops")
+
+
+@dataclass(slots=True)
+class Scenario:
+    about: str = tables.text(tables.REQUIRED, "what it rehearses, in a sentence")
+    must: str = tables.text(tables.REQUIRED, "what must hold, in a sentence")
+    day: Day = tables.table(Day, "how long, and the routers' limits")
+    fleet: Fleet = tables.table(Fleet, "rooms, routers and cache nodes")
+    database: Database = tables.table(Database, "the order database")
+    classes: list[WorkClass] = tables.tables(WorkClass, "classes of requests", _work)
+    customers: list[Customer] = tables.tables(Customer, "who shares the fleet", _customers)
+    traffic: Traffic = tables.table(Traffic, "what clients send")
+    clients: Clients = tables.table(Clients, "how they send it")
+    front: Front = tables.table(Front, "spreads the clients of a room over its routers")
+    discovery: Discovery = tables.table(Discovery, "how late the list is")
+    messages: Messages = tables.table(Messages, "between routers")
+    expect: Expect = tables.table(Expect, "what else must hold")
+    faults: list[Fault] = tables.tables(Fault, "what goes wrong, and when")
+
+    def nodes(self) -> list[tuple[str, NodeClass, str]]:
+        """Each node: its uid, class and room. Full and small ones alternate, so that each room has both."""
+        rows, rooms = [], self.fleet.rooms
+        for number, kind in enumerate(one for one in self.fleet.nodes for _ in range(one.count)):
+            room = rooms[number % len(rooms)]
+            rows.append((f"{room}-{number // len(rooms)}", kind, room))
+        return rows
+
+    def router_room(self, number: int) -> str:
+        return self.fleet.rooms[number % len(self.fleet.rooms)]
+
+
+def read_scenario(path: Path, changes: dict[str, object] | None = None) -> Scenario:
+    """A scenario from a file, with changes by dotted key; raises TableError with a line for each thing
+    wrong.
+    """
+    problems: list[str] = []
+    source = tables.load(path)
+    for key, value in (changes or {}).items():
+        table, _, name = key.rpartition(".")
+        source.setdefault(table, {})[name] = value
+    told = tables.read(Scenario, source, path.name, problems)
+    if told is None:
+        raise tables.TableError(problems)
+    for label, names in (
+        ("classes", [one.name for one in told.classes]),
+        ("customers", [one.name for one in told.customers]),
+        ("fleet.nodes", [one.name for one in told.fleet.nodes]),
+    ):
+        twice = [name for name, count in Counter(names).items() if count > 1 or name == "database"]
+        if twice or not names:
+            problems.append(f"{path.name}: {label} = {twice}: allowed are different names, one at least")
+    if not any(one.share for one in told.classes) or not any(one.share * one.usage for one in told.customers):
+        problems.append(f"{path.name}: no class or no customer sends anything")
+    if told.clients.connections == "reused" and told.clients.most < told.fleet.routers:
+        problems.append(
+            f"{path.name}: clients.most = {told.clients.most}: allowed is one for each router at least"
+        )
+    nodes = [uid for uid, _, _ in told.nodes()]
+    at_work = (told.fleet.rooms, nodes, told.fleet.routers, told.day.length_s)
+    problems += [f"{path.name}: {line}" for line in check_faults(told.faults, *at_work)]
+    if problems:
+        raise tables.TableError(problems)
+    return told
+
+
+def shipped() -> dict[str, Path]:
+    """The scenarios that the kit ships, by name."""
+    folder = Path(str(resources.files("rainhitch.rehearsal"))) / "scenarios"
+    return {path.stem: path for path in sorted(folder.glob("*.toml"))}
+
+
+def find(name: str) -> Path:
+    """The file of a shipped scenario, or the path itself; raises TableError for neither."""
+    known = shipped()
+    if name in known:
+        return known[name]
+    path = Path(name)
+    if path.suffix == ".toml" or path.exists():
+        return path
+    raise tables.TableError(
+        [f"{name}: no such scenario; shipped are {', '.join(known)}; or a file FILE.toml"]
+    )
--- /dev/null
+++ b/rainhitch/rehearsal/stage.py
@@ -0,0 +1,266 @@
+"""Plays a plan: starts the world and the routers, sets them going at one instant, keeps their ledgers.
+
+Every process that is started is ended again, whatever happens, and the folder they worked in goes with them.
+"""
+
+import asyncio
+import contextlib
+import resource
+import shutil
+import sys
+import tempfile
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from rainhitch.rehearsal.plan import Plan
+from rainhitch.rehearsal.routers import Router, StageError, free_port, settings
+from rainhitch.rehearsal.scenario import Scenario
+
+Json = dict[str, Any]
+LEAD = 0.6  # s between all being ready and the prelude
+SPARE = 200  # descriptors of a part beside its connections
+PART_READY = 60.0  # s
+Told = Callable[[float, Json], None]  # how far the day is, in its seconds, and the stage's word
+
+
+class PartProcess:
+    """One part of the world in its process."""
+
+    def __init__(self, role: str, folder: Path) -> None:
+        self.role, self.folder = role, folder
+        self.process: asyncio.subprocess.Process | None = None
+
+    async def start(self) -> None:
+        words = [sys.executable, "-m", "rainhitch.rehearsal.world", self.role, str(self.folder)]
+        with (self.folder / f"{self.name}.log").open("wb") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                *words,
+                stdin=asyncio.subprocess.PIPE,
+                stdout=asyncio.subprocess.PIPE,
+                stderr=log,
+                limit=1 << 24,
+                start_new_session=True,
+            )
+
+    @property
+    def name(self) -> str:
+        return self.role.replace(":", "-")
+
+    def say(self, message: Json) -> None:
+        assert self.process is not None and self.process.stdin is not None
+        self.process.stdin.write(orjson.dumps(message) + b"\n")
+
+    async def hear(self, key: str, within: float = PART_READY) -> Any:
+        """The next word with this key."""
+        assert self.process is not None and self.process.stdout is not None
+        try:
+            async with asyncio.timeout(within):
+                while line := await self.process.stdout.readline():
+                    message = orjson.loads(line)
+                    if key in message:
+                        return message[key]
+        except TimeoutError:
+            pass
+        log = (self.folder / f"{self.name}.log").read_text(errors="replace").strip().splitlines()
+        raise StageError(f"the stand-in {self.role} failed: {log[-1] if log else 'no word'}")
+
+    async def end(self) -> None:
+        if self.process is not None and self.process.returncode is None:
+            with contextlib.suppress(ProcessLookupError):
+                self.process.kill()
+            await self.process.wait()
+
+
+def check_descriptors(scenario: Scenario) -> None:
+    """Raises StageError where this process's limit is too low for the fleet; raises the soft limit as
+    needed.
+    """
+    fleet = scenario.fleet
+    listeners = sum(one.count for one in fleet.nodes) * fleet.routers
+    tables = sum(round(one.cores * one.table_per_core) * one.count for one in fleet.nodes)
+    need = max(scenario.clients.most, listeners + 2 * tables, scenario.day.sockets) + SPARE
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if hard != resource.RLIM_INFINITY and need > hard:
+        raise StageError(f"too few descriptors: this fleet needs {need} in a process, the limit is {hard}")
+    if soft != resource.RLIM_INFINITY and soft < need:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (need, hard))
+
+
+class Stage:
+    """One day."""
+
+    def __init__(
+        self, scenario: Scenario, plan: Plan, words: list[str], tell: Told = lambda at, row: None
+    ) -> None:
+        self.scenario, self.plan, self.words, self.tell = scenario, plan, words, tell
+        self.folder = Path(tempfile.mkdtemp(prefix="rainhitch-"))
+        self.parts: list[PartProcess] = []
+        self.routers: list[Router] = []
+        self.acting: set[asyncio.Task[None]] = set()
+        self.zero = 0
+        self.failed: StageError | None = None
+
+    async def play(self) -> Json:
+        """Plays the day; gives all its ledgers."""
+        try:
+            return await self._play()
+        finally:
+            for task in self.acting:
+                task.cancel()
+            for router in self.routers:
+                router.end_now()
+            for part in self.parts:
+                await part.end()
+            for router in self.routers:
+                if router.process is not None:
+                    await router.process.wait()
+            shutil.rmtree(self.folder, ignore_errors=True)
+
+    async def _play(self) -> Json:
+        scenario, plan = self.scenario, self.plan
+        told = {"plan": plan.rows(), "scenario": orjson.loads(orjson.dumps(scenario))}
+        (self.folder / "plan.json").write_bytes(orjson.dumps(told))
+        centre = PartProcess("centre", self.folder)
+        nodes = [PartProcess(f"nodes:{n}", self.folder) for n in range(len(plan.rooms))]
+        clients = [PartProcess(f"clients:{n}", self.folder) for n in range(len(plan.rooms))]
+        self.parts = [centre, *nodes]
+        for part in self.parts:
+            await part.start()
+        await centre.hear("ready")
+        endpoints: Json = {}
+        for part in nodes:
+            endpoints |= (await part.hear("ready"))["nodes"]
+        bus = str(self.folder / "bus")
+        centre.say({"nodes": endpoints, "bus": bus})
+        told_lists = await centre.hear("lists")
+        lists, peers = told_lists["agents"], told_lists["peers"]
+        for part in nodes:
+            part.say({"bus": bus})
+        await self._start_routers(lists, peers)
+        centre.say(
+            {"listens": {str(n): one.config["peer_listen"].split(":") for n, one in enumerate(self.routers)}}
+        )
+        (self.folder / "addresses.json").write_bytes(orjson.dumps([one.address for one in self.routers]))
+        self.parts += clients
+        for part in clients:
+            await part.start()
+        for part in clients:
+            await part.hear("ready")
+        first = min((ask.at for ask in plan.asks), default=0)
+        self.zero = time.monotonic_ns() + int(LEAD * 1e9) - min(first, 0) * 1000
+        for part in self.parts:
+            part.say({"zero": self.zero})
+        await self._through(clients)
+        for router in self.routers:
+            self._do(router.stop())
+        await asyncio.gather(*self.acting)
+        return await self._ledgers()
+
+    async def _start_routers(self, lists: list[Json], peers: list[list[str]]) -> None:
+        day = self.scenario.day
+        for number in range(self.scenario.fleet.routers):
+            config = {
+                "name": f"router-{number}",
+                "listen": f"127.0.0.1:{free_port()}",
+                "discovery": lists[number]["agent"],
+                "seed": f"{self.plan.seed * 1000 + number & (1 << 63) - 1:016x}",
+                "limits": {"cores": 1.0, "memory_mb": day.memory_mb, "sockets": day.sockets},
+                "peer_listen": f"127.0.0.1:{free_port()}",
+                "peers": peers[number][:-1],
+                "peers_all": peers[number][-1],
+                "known": lists[number]["known"],
+                "settings": settings(self.scenario, number),
+            }
+            memory = int(day.memory_mb * (1 << 20))
+            router = Router(number, self.words, self.folder, config, memory, day.sockets)
+            self.routers.append(router)
+            await router.start()
+        for router in self.routers:
+            if not await router.ready():
+                lines = router.last_lines()
+                what = router.crash["why"] if router.crash else "did not answer PING"
+                raise StageError(f"the router's command failed: {what}: {lines[-1] if lines else 'no word'}")
+
+    def _do(self, what: Any) -> None:
+        task = asyncio.get_running_loop().create_task(what)
+        self.acting.add(task)
+        task.add_done_callback(self.acting.discard)
+
+    async def _through(self, clients: list[PartProcess]) -> None:
+        """Acts on the routers' cues until the clients are done."""
+        loop = asyncio.get_running_loop()
+        for cue in self.plan.cues:
+            if cue["who"] == "router":
+                after = max(0.0, (self.zero + cue["at"] * 1000 - time.monotonic_ns()) / 1e9)
+                loop.call_later(after, self._act, cue)
+        longest = max(one.deadline_ms for one in self.scenario.classes) / 1000
+        whole = self.scenario.day.length_s + 2 * longest + 10
+        over = [loop.create_task(part.hear("over", whole + PART_READY)) for part in clients]
+        crashed: set[int] = set()
+        while True:
+            done, _ = await asyncio.wait(over, timeout=0.25)
+            at = (time.monotonic_ns() - self.zero) / 1e9
+            self.tell(at, {"crashes": sum(one.crash is not None for one in self.routers)})
+            for number, router in enumerate(self.routers):
+                if router.crash is not None and number not in crashed:
+                    crashed.add(number)
+                    self._do(self._front(number, False, self.scenario.front.notice_s[0]))
+            if len(done) == len(over):
+                for task in over:
+                    task.result()
+                return
+            last = max((cue["at"] for cue in self.plan.cues), default=0) / 1e6
+            if at > max(whole, last + whole):
+                raise StageError("the clients did not come to an end")
+
+    def _act(self, cue: Json) -> None:
+        self._do(self._cue(cue))
+
+    async def _cue(self, cue: Json) -> None:
+        router = self.routers[cue["name"]]
+        if cue["what"] == "kill":
+            self._do(self._front(cue["name"], False, cue["notice"] / 1e6))
+            await router.kill()
+        elif cue["what"] == "start":
+            await router.ended.wait()
+            await self._up(router)
+        elif cue["what"] == "reload":
+            router.reload()
+        elif cue["what"] == "restart":
+            self._do(self._front(cue["name"], False, cue["accept"] / 1e6))
+            await router.stop()
+            await self._up(router)
+
+    async def _up(self, router: Router) -> None:
+        if router.crash is None:
+            await router.start()
+            if await router.ready():
+                await self._front(router.number, True, 0.0)
+
+    async def _front(self, router: int, up: bool, after: float) -> None:
+        """The front notices that a router is down or up."""
+        begun = len(self.routers[router].events)
+        await asyncio.sleep(after)
+        back = any(what == "ready" for what, _ in self.routers[router].events[begun:])
+        if up or not back:  # who is back before the front noticed was never missed
+            for part in self.parts:
+                if part.role.startswith("clients"):
+                    part.say({"router": router, "up": up})
+
+    async def _ledgers(self) -> Json:
+        rows: Json = {"parts": {}}
+        for part in self.parts:
+            part.say({"end": f"{part.name}.json"})
+        for part in self.parts:
+            await part.hear("ended")
+            rows["parts"][part.role] = orjson.loads((self.folder / f"{part.name}.json").read_bytes())
+        rows["zero"] = self.zero
+        rows["routers"] = [
+            {"number": one.number, "events": one.events, "crash": one.crash, "peak": one.peak}
+            for one in self.routers
+        ]
+        return rows
--- /dev/null
+++ b/rainhitch/rehearsal/world/callers.py
@@ -0,0 +1,33 @@
+"""The clients of one room, as a part of a day."""
+
+import asyncio
+from pathlib import Path
+
+from rainhitch.rehearsal.world.clients import Crowd
+from rainhitch.rehearsal.world.part import Json, Part
+
+
+class Callers(Part):
+    """The clients of one room."""
+
+    def __init__(self, folder: Path, told: Json, room: int) -> None:
+        super().__init__(folder, told)
+        addresses = [(host, int(port)) for host, port in told["addresses"]]
+        self.crowd = Crowd(room, self.plan, self.scenario, addresses)
+        self.playing: asyncio.Task[None] | None = None
+
+    def begin(self, zero: int) -> None:
+        super().begin(zero)
+        self.playing = self.loop.create_task(self.play())
+
+    async def play(self) -> None:
+        await self.crowd.play(self.zero)
+        self.say({"over": True})
+
+    def heed(self, message: Json) -> None:
+        if "router" in message:
+            self.crowd.up[message["router"]] = message["up"]
+
+    def ledger(self) -> Json:
+        crowd = self.crowd
+        return {"sent": crowd.rows(), "extras": crowd.extras, "opened": crowd.opened, "lates": crowd.lates}
--- /dev/null
+++ b/rainhitch/rehearsal/world/centre.py
@@ -0,0 +1,142 @@
+"""The order database, discovery, and the datagrams between routers, as a part of a day."""
+
+import asyncio
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+import orjson
+
+from rainhitch.rehearsal.world.database import Database, DatabaseSpec
+from rainhitch.rehearsal.world.datagrams import Datagrams
+from rainhitch.rehearsal.world.discovery import Agent
+from rainhitch.rehearsal.world.part import Json, Part
+
+
+class Centre(Part):
+    """The order database, discovery, and the datagrams between routers."""
+
+    def __init__(self, folder: Path, told: Json) -> None:
+        super().__init__(folder, told)
+        routers, scenario = len(self.plan["routers"]), self.scenario
+        spec = DatabaseSpec(**scenario["database"], value_bytes=scenario["traffic"]["value_bytes"])
+        self.database = Database(spec, routers, self.stored, self.voided)
+        delay = tuple(one / 1000 for one in scenario["messages"]["delay_ms"])
+        seed = self.plan["seed"]
+        self.datagrams = Datagrams(routers, seed, (delay[0], delay[1]), scenario["messages"]["loss"])
+        self.agents: list[Agent] = []
+        self.endpoints: dict[str, list[str]] = {}
+        self.rooms: list[asyncio.StreamWriter] = []
+        self.unix = 0  # ms: the wall clock at the plan's 0
+
+    def entry(self, router: int, uid: str, state: str, boot_us: int) -> Json:
+        node = next(one for one in self.plan["nodes"] if one["uid"] == uid)
+        return {
+            "uid": uid,
+            "endpoint": self.endpoints[uid][router],
+            "az": node["room"],
+            "model": node["class"],
+            "pod_group": 0,
+            "state": state,
+            "capacity_hint": self.weights[uid],
+            "boot_ms": self.unix + boot_us // 1000 if boot_us else 0,
+        }
+
+    def heed(self, message: Json) -> None:
+        if "nodes" in message:
+            self.endpoints = message["nodes"]
+            size = {one["uid"]: one["cores"] * self.nominal(one["class"]) for one in self.plan["nodes"]}
+            mean = sum(size.values()) / len(size)
+            self.weights = {uid: round(one / mean, 3) for uid, one in size.items()}
+            for router in range(len(self.plan["routers"])):
+                self.agents.append(Agent(router, self.listed(router)))
+            task = self.loop.create_task(self.host(message["bus"]))
+            task.add_done_callback(lambda one: one.exception() if not one.cancelled() else None)
+        elif "listens" in message:
+            self.datagrams.targets = {int(n): tuple(one) for n, one in message["listens"].items()}
+
+    def nominal(self, name: str) -> float:
+        """The speed of a core that the list's hint goes by: the middle of the class's range."""
+        low, high = next(one["speed"] for one in self.scenario["fleet"]["nodes"] if one["name"] == name)
+        return float(low + high) / 2
+
+    def listed(self, router: int) -> list[Json]:
+        rows = [self.entry(router, one["uid"], "Ready", 0) for one in self.plan["nodes"]]
+        base = {"az": self.plan["rooms"][0], "model": "database", "pod_group": 0, "state": "Ready"}
+        endpoint = self.database.endpoints[router]
+        row = {"uid": "database", "endpoint": endpoint, **base, "capacity_hint": 1.0, "boot_ms": 0}
+        return [*rows, row]
+
+    async def host(self, path: str) -> None:
+        await asyncio.start_unix_server(self.joined, path)
+        lists = [{"agent": agent.endpoint, "known": agent.whole()} for agent in self.agents]
+        peers = [self.datagrams.addresses(agent.router) for agent in self.agents]
+        self.say({"lists": {"agents": lists, "peers": peers}})
+
+    async def joined(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.rooms.append(writer)
+        while line := await reader.readline():
+            message = orjson.loads(line)
+            if "fell" in message:
+                low, high = self.scenario["discovery"]["notice_s"]
+                self.loop.call_later((low + high) / 2, self.gone, message["fell"])
+
+    def gone(self, uid: str) -> None:
+        for agent in self.agents:
+            agent.push(self.entry(agent.router, uid, "Gone", 0))
+
+    def all_rooms(self, message: Json) -> None:
+        line = orjson.dumps(message) + b"\n"
+        for writer in self.rooms:
+            writer.write(line)
+
+    def stored(self, key: str, id: str) -> None:
+        self.all_rooms({"store": key, "id": id})
+
+    def voided(self, key: str) -> None:
+        self.all_rooms({"void": key, "id": ""})
+
+    def begin(self, zero: int) -> None:
+        super().begin(zero)
+        now = time.monotonic_ns()
+        self.unix = time.time_ns() // 1_000_000 + (zero - now) // 1_000_000
+        self.database.free = True
+        self.loop.call_later(max(0.0, (zero - now) / 1e9 - 0.1), setattr, self.database, "free", False)
+        for one in self.plan["changes"]:
+            self.loop.call_later(max(0.0, (zero + one["at"] * 1000 - now) / 1e9), self.change, one)
+
+    def change(self, one: Json) -> None:
+        entry = self.entry(one["router"], one["node"], one["state"], one["boot"])
+        self.agents[one["router"]].push(entry)
+
+    def cue(self, cue: Json) -> None:
+        datagrams, what = self.datagrams, cue["what"]
+        if cue["who"] == "database":
+            database = self.database
+            acts: dict[str, Callable[[], None]] = {
+                "slow": lambda: database.slow(cue["factor"]),
+                "quick": lambda: database.slow(1.0),
+                "stop": database.stop,
+                "go": database.go,
+            }
+            acts[what]()
+        elif cue["who"] == "list" and what in ("silent", "speak"):
+            for agent in self.agents:
+                agent.silence(what == "silent")
+        elif cue["who"] == "messages":
+            if what in ("cut", "heal"):
+                datagrams.apart = set(cue["name"]) if what == "cut" else set()
+            elif what in ("lose", "keep"):
+                datagrams.lost = cue["share"] if what == "lose" else 0.0
+            else:
+                datagrams.more = cue["delay"] / 1e6 if what == "delay" else 0.0
+
+    def ledger(self) -> Json:
+        grams = self.datagrams
+        return {
+            "fetches": [row.row() for row in self.database.rows],
+            "told": [row for agent in self.agents for row in agent.rows],
+            "stops": self.database.stops,
+            "factors": self.database.factors,
+            "messages": {"sent": grams.sent, "delivered": grams.delivered, "bytes": grams.bytes},
+        }
--- /dev/null
+++ b/rainhitch/rehearsal/world/part.py
@@ -0,0 +1,82 @@
+"""What every part of a day's world does in its process: heed the stage, act on cues, keep a ledger."""
+
+import asyncio
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+Json = dict[str, Any]
+TICK = 0.02  # s between looks at the loop's own lateness
+STALL = 0.01  # s beyond which one is noted
+
+
+class Part:
+    """What all parts do: heed the stage, act on cues, note their own lateness, keep a ledger."""
+
+    def __init__(self, folder: Path, told: Json) -> None:
+        self.folder, self.plan, self.scenario = folder, told["plan"], told["scenario"]
+        self.loop = asyncio.get_running_loop()
+        self.stalls: list[tuple[int, int]] = []  # monotonic ns: since when, until when
+        self.done = asyncio.Event()
+        self.zero = 0
+        self.bus: asyncio.StreamWriter | None = None
+
+    def ready(self) -> Json:
+        """What the stage is told once this part stands."""
+        return {}
+
+    def heed(self, message: Json) -> None:
+        """A line of the stage that is not for all parts."""
+
+    def cue(self, cue: Json) -> None:
+        """A fault acts."""
+
+    def ledger(self) -> Json:
+        return {}
+
+    def begin(self, zero: int) -> None:
+        """The plan's instant 0, in monotonic ns."""
+        self.zero = zero
+        now = time.monotonic_ns()
+        for cue in self.plan["cues"]:
+            after = max(0.0, (zero + cue["at"] * 1000 - now) / 1e9)
+            self.loop.call_later(after, self.cue, cue)
+
+    async def tick(self) -> None:
+        while True:
+            before = time.monotonic_ns()
+            await asyncio.sleep(TICK)
+            late = time.monotonic_ns() - before - int(TICK * 1e9)
+            if late > STALL * 1e9:
+                self.stalls.append((before, before + int(TICK * 1e9) + late))
+
+    async def run(self) -> None:
+        reader = asyncio.StreamReader(limit=1 << 24)
+        await self.loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(reader), sys.stdin)
+        ticker = self.loop.create_task(self.tick())
+        self.say({"ready": self.ready()})
+        while line := await reader.readline():
+            message = orjson.loads(line)
+            if "zero" in message:
+                self.begin(message["zero"])
+            elif "end" in message:
+                rows = {**self.ledger(), "stalls": self.stalls}
+                (self.folder / message["end"]).write_bytes(orjson.dumps(rows))
+                self.say({"ended": True})
+                break
+            else:
+                self.heed(message)
+        ticker.cancel()
+
+    @staticmethod
+    def say(message: Json) -> None:
+        sys.stdout.buffer.write(orjson.dumps(message) + b"\n")
+        sys.stdout.buffer.flush()
+
+    def tell(self, message: Json) -> None:
+        """To the other parts, over the bus."""
+        if self.bus is not None:
+            self.bus.write(orjson.dumps(message) + b"\n")
