Test the kit and its judge from both sides, and hear out clients that are turned away

They found four faults of the kit: a surge shifted the draws of hot keys, first bytes were mistimed, a fallen node fell again, signals took exit codes.

--- a/rainhitch/node/clients.py
+++ b/rainhitch/node/clients.py
@@ -21,6 +21,7 @@
 UNFINISHED = 2.6  # s for which a command may be on its way, the first from when the client connected
 SPARED = 2.0  # s for which a connection with no request open is left alone at the cap
 LINGER = 1.0  # s for which a client that has its last answer may go on sending,
+MOST_TURNED = 12  # connections that were turned away and are still heard out
 LINGER_BYTES = 256 << 10  # and how much of that is read
 SMALL = 1024  # bytes of an answer that is kept whatever else is
 SWEEP = 0.2
@@ -64,9 +65,17 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
         if not self.server.admit(self):
-            self.server.count("turned away")
-            self.transport.write(resp.error("max number of clients reached"))
-            self.transport.close()
+            self._turn_away()
+
+    def _turn_away(self) -> None:
+        """Says that there is no room and hears the client out. Guards that one answer: a close with the
+        client's first command unread is a reset, which overtakes what was written before it."""
+        assert self.transport is not None
+        self.last = self.lingering = True
+        self.transport.write(resp.error("max number of clients reached"))
+        self.transport.write_eof()
+        self.stuck = self.server.loop.call_later(LINGER, self.abort)
+        self.server.turn_away(self)
 
     def data_received(self, data: bytes) -> None:
         self.mute = False
@@ -277,6 +286,7 @@
         self.awaited: dict[Client, float] = {}
         self.idle: dict[Client, float] = {}
         self.lingering: dict[Client, float] = {}
+        self.turned: dict[Client, None] = {}
         self.idle_s, self.unfinished_s, self.unread_s = SPARED, UNFINISHED, STUCK  # the operator's to change
         self.buffered = 0  # bytes that clients have not finished sending or reading
         self.can_serve: Callable[[], bool] = lambda: False
@@ -307,6 +317,13 @@
             self.loop.call_later(SWEEP, self._sweep)
         return True
 
+    def turn_away(self, client: Client) -> None:
+        """Counts one that had no room; a few are heard out at a time, out of the spare descriptors."""
+        self.count("turned away")
+        self.turned[client] = None
+        if len(self.turned) > MOST_TURNED:
+            next(iter(self.turned)).abort()
+
     def _make_room(self) -> bool:
         """Closes who lingers longest, has been mute or idle longest. Guards newcomers against connections
         that asked once and stay, and requests against a close: none goes with one open or bytes unread."""
@@ -380,6 +397,7 @@
 
     def gone(self, client: Client) -> None:
         self.open.discard(client)
+        self.turned.pop(client, None)
         for group in (self.awaited, self.idle, self.lingering):
             group.pop(client, None)
         self.buffered -= client.buffered
--- a/rainhitch/rehearsal/plan.py
+++ b/rainhitch/rehearsal/plan.py
@@ -273,12 +273,13 @@
 
 def _bend(scenario: Scenario, seed: int, keys: Keys, fault: Fault, asks: list[Ask]) -> None:
     """Hot keys and floods: part of the requests of the time ask for other keys."""
-    random = streams(seed, fault.kind, fault.at_s)
+    ordinary, surged = (streams(seed, fault.kind, fault.at_s, which) for which in ("", "surged"))
     begin, end = micros(fault.at_s), micros(fault.until_s)
     hot = [keys.name(f"{fault.kind}/{fault.at_s}/{n}") for n in range(fault.keys)]
     for number, ask in enumerate(asks):
         if not begin <= ask.at < end:
             continue
+        random = ordinary if ask.router < 0 else surged
         chosen, which = random.random() < fault.share, random.randrange(fault.keys)
         if chosen and fault.kind == "hot-keys":
             ask.key = hot[which]
--- a/rainhitch/rehearsal/play.py
+++ b/rainhitch/rehearsal/play.py
@@ -12,7 +12,7 @@
 from rainhitch.rehearsal.plain import MODES
 from rainhitch.rehearsal.plan import draw
 from rainhitch.rehearsal.scenario import Scenario, read_scenario
-from rainhitch.rehearsal.stage import Stage, Told, check_descriptors
+from rainhitch.rehearsal.stage import Stage, Told, check_descriptors, check_ports
 
 Json = dict[str, Any]
 AT_ONCE = 3  # proofs side by side
@@ -39,6 +39,7 @@
 ) -> Json:
     """Plays a day and gives its report; raises StageError for one that can't be played."""
     check_descriptors(scenario)
+    check_ports(scenario)
     plan = draw(scenario, name, seed)
     ledgers = await Stage(scenario, plan, words, tell).play()
     ledgers["plan_digest"] = plan.digest()
--- a/rainhitch/rehearsal/routers.py
+++ b/rainhitch/rehearsal/routers.py
@@ -222,10 +222,11 @@
     def _signal(self, number: signal.Signals) -> None:
         if self.process is not None and self.process.returncode is None:
             with contextlib.suppress(ProcessLookupError):
+                # Not by the process object, which would take the exit code from who waits for it.
                 if number is signal.SIGKILL:
                     os.killpg(self.process.pid, number)
                 else:
-                    self.process.send_signal(number)
+                    os.kill(self.process.pid, number)
 
     async def kill(self) -> None:
         """As a machine that dies: no warning."""
--- a/rainhitch/rehearsal/scenario.py
+++ b/rainhitch/rehearsal/scenario.py
@@ -45,6 +45,7 @@
 class Fleet:
     rooms: list[str] = tables.texts(["neihu", "banqiao", "taoyuan"], "machine rooms")
     routers: int = tables.whole(3, 1, 64, "dealt to the rooms in turn")
+    first_port: int = tables.whole(0, 0, 65000, "of the routers, one after the other; 0: any that are free")
     nodes: list[NodeClass] = tables.tables(NodeClass, "the classes of cache nodes", _classes)
     memory_keys: int = tables.whole(300, 1, 1 << 20, "keys that a node holds; the least lately used go first")
     connection_ms: tuple[float, float] = tables.pair(
--- a/rainhitch/rehearsal/stage.py
+++ b/rainhitch/rehearsal/stage.py
@@ -5,8 +5,11 @@
 
 import asyncio
 import contextlib
+import os
 import resource
 import shutil
+import signal
+import socket
 import sys
 import tempfile
 import time
@@ -71,7 +74,7 @@
     async def end(self) -> None:
         if self.process is not None and self.process.returncode is None:
             with contextlib.suppress(ProcessLookupError):
-                self.process.kill()
+                os.killpg(self.process.pid, signal.SIGKILL)
             await self.process.wait()
 
 
@@ -90,6 +93,18 @@
         resource.setrlimit(resource.RLIMIT_NOFILE, (need, hard))
 
 
+def check_ports(scenario: Scenario) -> None:
+    """Raises StageError for a port that is wanted and can't be had."""
+    first = scenario.fleet.first_port
+    for port in range(first, first + scenario.fleet.routers) if first else []:
+        with socket.socket() as one:
+            one.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                one.bind(("127.0.0.1", port))
+            except OSError as problem:
+                raise StageError(f"port {port} can't be had for a router: {problem.strerror}") from None
+
+
 class Stage:
     """One day."""
 
@@ -161,11 +176,11 @@
         return await self._ledgers()
 
     async def _start_routers(self, lists: list[Json], peers: list[list[str]]) -> None:
-        day = self.scenario.day
+        day, first = self.scenario.day, self.scenario.fleet.first_port
         for number in range(self.scenario.fleet.routers):
             config = {
                 "name": f"router-{number}",
-                "listen": f"127.0.0.1:{free_port()}",
+                "listen": f"127.0.0.1:{first + number if first else free_port()}",
                 "discovery": lists[number]["agent"],
                 "seed": f"{self.plan.seed * 1000 + number & (1 << 63) - 1:016x}",
                 "limits": {"cores": 1.0, "memory_mb": day.memory_mb, "sockets": day.sockets},
--- a/rainhitch/rehearsal/world/node.py
+++ b/rainhitch/rehearsal/world/node.py
@@ -81,6 +81,14 @@
         return told
 
 
+def _length(command: Any) -> int:
+    """How many bytes a command took on the wire."""
+    if not isinstance(command, list):
+        return 0
+    words = [one for one in command if isinstance(one, bytes)]
+    return len(b"*%d\r\n" % len(command)) + sum(len(b"$%d\r\n" % len(one)) + len(one) + 2 for one in words)
+
+
 @dataclass(slots=True, eq=False)
 class Turn:
     """The place of an answer on its connection."""
@@ -99,6 +107,7 @@
         self.reader = hiredis.Reader()
         self.turns: deque[Turn] = deque()
         self.first = 0  # when the first byte of a command that is not whole was sent
+        self.partial = 0  # bytes of it
         self.full = False
         self.idle: asyncio.TimerHandle | None = None
 
@@ -120,13 +129,15 @@
         self.first = self.first or at
         self._rest()
         self.reader.feed(data)
+        self.partial += len(data)
         try:
-            while (command := self.reader.gets()) is not False:
+            while self.node.up and (command := self.reader.gets()) is not False:
+                self.partial -= _length(command)
                 turn = Turn(None)
                 self.turns.append(turn)
                 self.node.command(self, turn, command, self.first, at)
                 self.first = at
-            if not self.reader.has_data():
+            if not self.partial:
                 self.first = 0
         except hiredis.ProtocolError:
             self.node.syntax += 1
--- a/tests/node/test_hostile.py
+++ b/tests/node/test_hostile.py
@@ -437,3 +437,25 @@
         assert len(bench.cache.got) == len(other.got) == 1
         await soon(lambda: bench.cache.ended == 1)
     await other.stop()
+
+
+async def test_who_is_turned_away_hears_it_even_with_a_command_on_the_way() -> None:
+    """A reset would overtake the answer: the client then has none, though its command was taken."""
+    async with router(sockets=1) as bench:
+        await (await bench.caller()).answer_to_ping()
+        for n in range(20):
+            late = await bench.caller()
+            for _ in range(4):
+                late.get(name=b"late%d" % n)
+            assert str(await late.answer()) == "ERR max number of clients reached"
+            assert await late.answer() is None
+        await soon(lambda: len(bench.clients.turned) <= clients.MOST_TURNED)
+        assert len(bench.clients.open) == 1 and not bench.cache.got
+
+
+async def test_few_of_those_turned_away_are_heard_out_at_a_time() -> None:
+    async with router(sockets=1) as bench:
+        await (await bench.caller()).answer_to_ping()
+        many = [await bench.caller() for _ in range(3 * clients.MOST_TURNED)]
+        await soon(lambda: bench.clients.told["turned away"] == len(many))
+        await soon(lambda: len(bench.clients.turned) <= clients.MOST_TURNED)
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -152,6 +152,10 @@
     def get(self, key: bytes = b"k", name: bytes = b"i1", info: bytes = b"c=read,t=acme,d=9000") -> None:
         self.send(b"C.GET", key, name, info)
 
+    async def answer_to_ping(self) -> None:
+        self.send(b"PING")
+        assert await self.answer() == b"PONG"
+
     async def answer(self) -> Any:
         """The next answer; None once the router has closed."""
         async with asyncio.timeout(PATIENCE):
--- /dev/null
+++ b/tests/rehearsal/test_plan.py
@@ -0,0 +1,158 @@
+"""A seed is a promise: the whole plan is drawn ahead, from separate streams."""
+
+import subprocess
+import sys
+from dataclasses import replace
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from program import ROOT
+
+from rainhitch.rehearsal.faults import Fault
+from rainhitch.rehearsal.plan import MICRO, Keys, Plan, draw
+from rainhitch.rehearsal.scenario import Clients, Customer, Day, Discovery, Scenario, Traffic, WorkClass
+
+SHORT = Scenario(
+    "a",
+    "b",
+    day=Day(6.0, 1.0),
+    traffic=Traffic(rate=40.0, keys=200, shape="bursty"),
+    clients=Clients(retries=1),
+)
+PERFECT = Scenario("a", "b", day=Day(3.0, 0.5), traffic=Traffic(rate=30.0))
+
+
+def test_the_same_seed_gives_the_same_digest_and_another_seed_another() -> None:
+    assert draw(SHORT, "x", 7).digest() == draw(SHORT, "x", 7).digest()
+    assert draw(SHORT, "x", 7).digest() != draw(SHORT, "x", 8).digest()
+
+
+def test_the_digest_does_not_hang_on_the_process_or_its_hash_seed() -> None:
+    code = (
+        "from rainhitch.rehearsal.plan import draw\n"
+        "from rainhitch.rehearsal.scenario import read_scenario, shipped\n"
+        "print(draw(read_scenario(shipped()['room-loss']), 'room-loss', 3).digest())"
+    )
+    found = {
+        subprocess.run(
+            [sys.executable, "-c", code],
+            cwd=ROOT,
+            env={"PYTHONHASHSEED": n},
+            capture_output=True,
+            text=True,
+            timeout=60,
+        ).stdout
+        for n in ("0", "1", "77")
+    }
+    assert len(found) == 1 and len(found.pop().strip()) == 64
+
+
+FAULTS = st.sampled_from(
+    [
+        Fault("room-loss", 1.0, 2.0, room="banqiao"),
+        Fault("partition", 1.5, 2.0, room="taoyuan"),
+        Fault("database-slow", 2.0, 2.0, factor=3.0),
+        Fault("node-kill", 0.5, 1.0, node="neihu-0"),
+        Fault("list-late", 0.0, 5.0, delay_s=0.5),
+        Fault("messages-lost", 1.0, 1.0, share=0.5),
+        Fault("router-kill", 2.0, 1.0, router=1),
+        Fault("surge", 1.0, 2.0, router=2, share=0.3),
+        Fault("hot-keys", 1.0, 2.0, share=0.3, keys=1),
+        Fault("key-flood", 3.0, 2.0, share=0.3),
+    ]
+)
+
+
+def others(plan: Plan, keys: bool = True) -> list[object]:
+    """What clients of the ordinary load do: all but who is beyond a share, and the keys where asked."""
+    rows = [replace(ask, over=False, key=ask.key if keys else "") for ask in plan.asks if ask.router < 0]
+    return [rows, plan.nodes, plan.warm]
+
+
+@settings(max_examples=40)
+@given(st.lists(FAULTS, max_size=4, unique_by=lambda one: one.kind), FAULTS, st.integers(0, 1 << 40))
+def test_one_more_fault_shifts_nothing_else(faults: list[Fault], more: Fault, seed: int) -> None:
+    if any(one.kind == more.kind for one in faults):
+        return
+    before = draw(replace(SHORT, faults=faults), "x", seed)
+    after = draw(replace(SHORT, faults=[*faults, more]), "x", seed)
+    bends = more.kind in ("hot-keys", "key-flood")
+    assert others(before, not bends) == others(after, not bends)
+    cues = [{**cue, "fault": 0} for cue in after.cues if cue["fault"] < len(faults)]
+    assert cues == [{**cue, "fault": 0} for cue in before.cues]
+    if more.kind not in ("partition", "list-late", "node-kill", "room-loss"):
+        assert before.changes == after.changes
+
+
+@settings(max_examples=25)
+@given(st.integers(0, 1 << 40))
+def test_arrivals_are_in_order_within_the_day_and_about_as_many_as_asked(seed: int) -> None:
+    plan = draw(PERFECT, "x", seed)
+    times = [ask.at for ask in plan.asks if ask.at >= 0]
+    assert times == sorted(times) and times[-1] < 3 * MICRO
+    assert abs(len(times) - 90) < 6 * 90**0.5
+    ids = [one.id for ask in plan.asks for one in ask.tries]
+    assert len(set(ids)) == len(ids)
+    assert all(ask.at < -0.4 * MICRO for ask in plan.asks if ask.at < 0)
+
+
+def test_hot_keys_and_floods_bend_their_share_of_the_keys_and_only_then() -> None:
+    day = replace(SHORT, traffic=Traffic(rate=400.0, keys=200))
+    plain = draw(day, "x", 1)
+    hot = draw(replace(day, faults=[Fault("hot-keys", 2.0, 2.0, share=0.25, keys=1)]), "x", 1)
+    flood = draw(replace(day, faults=[Fault("key-flood", 2.0, 2.0, share=0.25)]), "x", 1)
+    for bent in (hot, flood):
+        changed = [(a, b) for a, b in zip(plain.asks, bent.asks, strict=True) if a.key != b.key]
+        assert all(2 * MICRO <= a.at < 4 * MICRO for a, _ in changed)
+        assert 120 < len(changed) < 280
+        names = {b.key for _, b in changed}
+        assert len(names) == (1 if bent is hot else len(changed))
+    assert all(
+        not day.classes[b.cls].write for a, b in zip(plain.asks, flood.asks, strict=True) if a.key != b.key
+    )
+
+
+def test_a_surge_adds_its_share_at_its_router() -> None:
+    day = replace(SHORT, traffic=Traffic(rate=400.0), faults=[Fault("surge", 2.0, 2.0, router=2, share=0.5)])
+    surged = [ask for ask in draw(day, "x", 1).asks if ask.router == 2]
+    assert 280 < len(surged) < 520 and all(2 * MICRO <= ask.at < 4 * MICRO for ask in surged)
+
+
+def test_what_is_beyond_a_share_is_told_by_a_bucket_filled_at_the_quota() -> None:
+    whole = Customer("a", 1, 1)
+    day = replace(PERFECT, customers=[whole], day=Day(20.0, 0.5), traffic=Traffic(rate=100.0, quota_rps=40.0))
+    asks = [ask for ask in draw(day, "x", 1).asks if ask.at >= 0]
+    inside = sum(not ask.over for ask in asks)
+    assert 40 * 20 <= inside <= 40 * 21 + 1
+
+
+def test_the_list_tells_of_a_death_within_its_lag_and_later_to_who_is_cut_off() -> None:
+    lag = Discovery((1.0, 1.0), (0.5, 0.5), (0.2, 0.2), (0.0, 0.0))
+    kill, cut = Fault("node-kill", 1.0, 1.0, node="neihu-0"), Fault("partition", 0.5, 3.0, room="banqiao")
+    plan = draw(replace(SHORT, discovery=lag, faults=[kill, cut]), "x", 1)
+    told = {(one.router, one.state): one.at / MICRO for one in plan.changes}
+    assert told[0, "Gone"] == 2.0 and told[0, "Ready"] == 2.2
+    assert told[1, "Gone"] == told[1, "Ready"] == 3.6
+    late = draw(
+        replace(SHORT, discovery=lag, faults=[kill, Fault("list-late", 1.0, 1.1, delay_s=2.0)]), "x", 1
+    )
+    assert {(one.router, one.state): one.at / MICRO for one in late.changes}[0, "Gone"] == 4.0
+    assert {(one.router, one.state): one.at / MICRO for one in late.changes}[0, "Ready"] == 2.2
+
+
+def test_popularity_follows_zipfs_law_and_drifts_by_and_by() -> None:
+    day = replace(SHORT, traffic=Traffic(keys=1000, zipf=1.0, offset=0.0, drift=0.05))
+    keys = Keys(day, 1)
+    first = keys.pick(0, 0.0)
+    assert first == keys.pick(MICRO // 2, 0.1) and keys.pick(0, 0.999) != first
+    before = list(keys.order)
+    keys.pick(10 * MICRO, 0.5)
+    moved = sum(a != b for a, b in zip(before, keys.order, strict=True))
+    assert 300 < moved < 1000
+    work = WorkClass("w", 1, 100, 1000, 2000)
+    heavy = [
+        ask.work_us
+        for ask in draw(replace(PERFECT, classes=[work], day=Day(30.0, 0.5)), "x", 1).asks
+        if ask.at > 0
+    ]
+    assert 85_000 < sum(heavy) / len(heavy) < 115_000 and max(heavy) <= 800_000
--- /dev/null
+++ b/tests/rehearsal/test_play.py
@@ -0,0 +1,176 @@
+"""Whole days: two short ones and the proof of the judge, played as a user does; records, Ctrl-C, crashes."""
+
+import os
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+import orjson
+import pytest
+from program import ROOT
+
+VOID = 3
+TRIES = 3  # of a day that the machine spoilt
+SMALL = """
+about = "a small fleet for a few seconds"
+must = "no rule broken"
+[day]
+length_s = 4.0
+prelude_s = 0.8
+[fleet]
+rooms = ["neihu", "banqiao"]
+routers = 2
+memory_keys = 60
+nodes = [
+    { name = "full-node", count = 2, cores = 4, speed = 1.0 },
+    { name = "small-node", count = 2, cores = 4, speed = 0.6 },
+]
+[traffic]
+rate = 40.0
+quota_rps = 40.0
+keys = 120
+[discovery]
+notice_s = 0.3
+drain_s = 0.2
+add_s = 0.2
+"""
+HARD = """
+[[faults]]
+kind = "node-kill"
+at_s = 0.5
+for_s = 1.0
+node = "banqiao-0"
+[[faults]]
+kind = "node-drain"
+at_s = 0.8
+for_s = 2.0
+node = "neihu-1"
+[[faults]]
+kind = "link-delay"
+at_s = 0.5
+for_s = 2.0
+delay_s = 0.05
+router = 0
+node = "neihu-0"
+[[faults]]
+kind = "database-slow"
+at_s = 1.0
+for_s = 1.5
+factor = 3.0
+[[faults]]
+kind = "router-kill"
+at_s = 1.5
+for_s = 0.5
+router = 1
+[[faults]]
+kind = "router-restart"
+at_s = 2.5
+router = 0
+"""
+
+
+def command(*words: str) -> list[str]:
+    return [sys.executable, "-m", "rainhitch", "rehearse", *words]
+
+
+def rehearse(*words: str, folder: Path | None = None) -> subprocess.CompletedProcess[str]:
+    """Plays; again where the rig itself ran late, which tells nothing of the router."""
+    env = {**os.environ, **({"TMPDIR": str(folder)} if folder else {})}
+    for _ in range(TRIES):
+        ended = subprocess.run(
+            command(*words), cwd=ROOT, env=env, capture_output=True, text=True, timeout=240
+        )
+        if ended.returncode != VOID:
+            break
+    return ended
+
+
+def written(tmp_path: Path, text: str) -> str:
+    path = tmp_path / "day.toml"
+    path.write_text(text)
+    return str(path)
+
+
+def left(folder: Path) -> list[str]:
+    """What a day that works in this folder has running, by the environment of each process, and its files."""
+    found = [str(one) for one in folder.iterdir()]
+    for one in Path("/proc").iterdir():
+        if one.name.isdigit() and int(one.name) != os.getpid():
+            try:
+                if f"TMPDIR={folder}".encode() in (one / "environ").read_bytes():
+                    found.append((one / "cmdline").read_bytes().decode())
+            except OSError:
+                continue  # it has just ended
+    return found
+
+
+def test_a_calm_day_holds_and_its_report_is_made_again_byte_for_byte(tmp_path: Path) -> None:
+    day, made, again = written(tmp_path, SMALL), tmp_path / "made.json", tmp_path / "again.json"
+    records = tmp_path / "records"
+    ended = rehearse(day, "--seed", "5", "--json", str(made), "--records", str(records))
+    assert ended.returncode == 0, ended.stdout + ended.stderr
+    told: dict[str, Any] = orjson.loads(made.read_bytes())
+    assert told["service"] > 0.8 and not told["breaches"] and told["seed"] == 5
+    shown = rehearse("report", str(records), "--json", str(again))
+    assert again.read_bytes() == made.read_bytes() and shown.stdout == ended.stdout
+
+
+def test_a_day_full_of_faults_breaks_no_rule_and_leaves_nothing_behind(tmp_path: Path) -> None:
+    made, folder = tmp_path / "made.json", tmp_path / "run"
+    folder.mkdir()
+    ended = rehearse(written(tmp_path, SMALL + HARD), "--json", str(made), folder=folder)
+    told: dict[str, Any] = orjson.loads(made.read_bytes())
+    assert ended.returncode == 0, ended.stdout + ended.stderr
+    assert not any(told["rules"].values()) and len(told["timeline"]) == 6
+    assert not left(folder)
+
+
+def test_the_proof_catches_each_bad_router_by_its_own_rule_and_accuses_no_good_one() -> None:
+    ended = rehearse("--prove")
+    assert ended.returncode == 0, ended.stdout + ended.stderr
+    lines = ended.stdout.splitlines()
+    assert sum(line.startswith("ok ") for line in lines) == 12
+    assert lines[-1] == "each is caught by its own rule, and no good one is accused"
+
+
+def test_a_router_that_crashes_is_a_finding_with_its_last_lines_and_not_a_hang(tmp_path: Path) -> None:
+    made = tmp_path / "made.json"
+    bad = f"{sys.executable} -m rainhitch.rehearsal.plain crashes"
+    ended = rehearse(written(tmp_path, SMALL), "--routers", "1", "--router", bad, "--json", str(made))
+    told: dict[str, Any] = orjson.loads(made.read_bytes())
+    assert ended.returncode == 1 and told["rules"]["crashed"] == 1
+    crash = next(one for one in told["breaches"] if one["rule"] == "crashed")
+    assert "ended with 3" in crash["what"] and crash["log"][-1] == "out of ideas"
+
+
+def test_a_router_over_its_memory_is_ended_and_found(tmp_path: Path) -> None:
+    made = tmp_path / "made.json"
+    hog = tmp_path / "hog.py"
+    hog.write_text("import runpy, sys\nkept = bytearray(120 << 20)\nsys.argv = ['x']\n")
+    hog.write_text(hog.read_text() + "runpy.run_module('rainhitch.rehearsal.plain', run_name='__main__')\n")
+    day = written(tmp_path, SMALL.replace("prelude_s = 0.8", "prelude_s = 0.8\nmemory_mb = 96.0"))
+    env = {**os.environ, "PYTHONPATH": str(ROOT)}
+    words = command(day, "--router", f"{sys.executable} {hog}", "--json", str(made))
+    ended = subprocess.run(words, cwd=ROOT, env=env, capture_output=True, text=True, timeout=120)
+    # Ended either before the day, which is bad input, or in it, which is a finding: never a hang.
+    assert "over its memory" in ended.stdout + ended.stderr and ended.returncode in (1, 2)
+
+
+@pytest.mark.parametrize("number", [signal.SIGINT, signal.SIGTERM])
+def test_an_interrupt_ends_all_that_was_started(tmp_path: Path, number: signal.Signals) -> None:
+    folder = tmp_path / "run"
+    folder.mkdir()
+    day = written(tmp_path, SMALL.replace("length_s = 4.0", "length_s = 60.0"))
+    env = {**os.environ, "TMPDIR": str(folder)}
+    running = subprocess.Popen(command(day), cwd=ROOT, env=env, stderr=subprocess.PIPE, text=True)
+    limit = time.monotonic() + 60
+    while len(left(folder)) < 8 and time.monotonic() < limit:
+        time.sleep(0.05)
+    assert len(left(folder)) >= 8  # its folder, itself, the centre, two rooms, two routers, clients
+    running.send_signal(number)
+    _, told = running.communicate(timeout=30)
+    assert running.returncode == 130 and "interrupted" in told
+    assert not left(folder)
