--- a/benchmarks/rehearsals.py
+++ b/benchmarks/rehearsals.py
@@ -82,9 +82,8 @@
     seeds = range(1, told.seeds + 1)
     days = [(name, seed, router) for name in names for seed in seeds for router in ROUTERS]
     rows = await asyncio.gather(*(one(*day, free, voids) for day in days))
-    print(
-        f"\n{os.cpu_count()} cores, {told.at_once} days at once, {told.seeds} seeds, {len(voids)} void plays\n"
-    )
+    machine = f"{os.cpu_count()} cores, {told.at_once} days at once"
+    print(f"\n{machine}, {told.seeds} seeds, {len(voids)} void plays\n")
     print("\n".join(table(list(rows), names)))
     if told.json:
         told.json.write_bytes(orjson.dumps(rows, option=orjson.OPT_INDENT_2))
--- a/rainhitch/rehearsal/plain.py
+++ b/rainhitch/rehearsal/plain.py
@@ -74,6 +74,8 @@
         self.taken = 0
         self.held: set[asyncio.Task[None]] = set()
         self.last = b""
+        self.clients: dict[asyncio.StreamWriter, bool] = {}  # whether it waits for an answer
+        self.stopping = False
 
     async def run(self) -> None:
         host, _, port = self.config["listen"].rpartition(":")
@@ -85,6 +87,9 @@
         await stop.wait()
         await asyncio.sleep(0.5)
         server.close()
+        self.stopping = True
+        for writer in [one for one, waits in self.clients.items() if not waits]:
+            writer.close()
         if self.held:
             await asyncio.wait(self.held, timeout=1.7)
         watching.cancel()
@@ -140,6 +145,7 @@
     async def _client(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """One client: a command, its answer, the next."""
         parser = hiredis.Reader()
+        self.clients[writer] = False
         with contextlib.suppress(OSError, hiredis.ProtocolError):
             while data := await reader.read(65536):
                 parser.feed(data)
@@ -150,7 +156,12 @@
                     task = asyncio.create_task(self._serve(words, writer))
                     self.held.add(task)
                     task.add_done_callback(self.held.discard)
+                    self.clients[writer] = True
                     await task
+                    self.clients[writer] = False
+                if self.stopping:
+                    break
+        del self.clients[writer]
         writer.close()
 
     async def _serve(self, words: list[bytes], writer: asyncio.StreamWriter) -> None:
@@ -194,7 +205,7 @@
                 return b"$%d\r\n%b\r\n" % (len(value), value)
         except NeverRanError:
             return BUSY
-        except (OSError, TimeoutError, ValueError, asyncio.IncompleteReadError):
+        except (OSError, TimeoutError, ValueError, hiredis.HiredisError, asyncio.IncompleteReadError):
             return BUSY if not ran or effect == "safe" else FAILED
 
     def _choose(self) -> str:
