--- a/rainhitch/rehearsal/world/callers.py
+++ b/rainhitch/rehearsal/world/callers.py
@@ -1,6 +1,5 @@
 """The clients of one room, as a part of a day."""
 
-import asyncio
 from pathlib import Path
 
 from rainhitch.rehearsal.world.clients import Crowd
@@ -14,11 +13,10 @@
         super().__init__(folder, told)
         addresses = [(host, int(port)) for host, port in told["addresses"]]
         self.crowd = Crowd(room, self.plan, self.scenario, addresses)
-        self.playing: asyncio.Task[None] | None = None
 
     def begin(self, zero: int) -> None:
         super().begin(zero)
-        self.playing = self.loop.create_task(self.play())
+        self.spawn(self.play())
 
     async def play(self) -> None:
         await self.crowd.play(self.zero)
--- a/rainhitch/rehearsal/world/centre.py
+++ b/rainhitch/rehearsal/world/centre.py
@@ -50,8 +50,7 @@
             self.weights = {uid: round(one / mean, 3) for uid, one in size.items()}
             for router in range(len(self.plan["routers"])):
                 self.agents.append(Agent(router, self.listed(router)))
-            task = self.loop.create_task(self.host(message["bus"]))
-            task.add_done_callback(lambda one: one.exception() if not one.cancelled() else None)
+            self.spawn(self.host(message["bus"]))
         elif "listens" in message:
             self.datagrams.targets = {int(n): tuple(one) for n, one in message["listens"].items()}
 
@@ -68,7 +67,7 @@
         return [*rows, row]
 
     async def host(self, path: str) -> None:
-        await asyncio.start_unix_server(self.joined, path)
+        self.server = await asyncio.start_unix_server(self.joined, path)  # closed with the last reference
         lists = [{"agent": agent.endpoint, "known": agent.whole()} for agent in self.agents]
         peers = [self.datagrams.addresses(agent.router) for agent in self.agents]
         self.say({"lists": {"agents": lists, "peers": peers}})
--- a/rainhitch/rehearsal/world/discovery.py
+++ b/rainhitch/rehearsal/world/discovery.py
@@ -100,7 +100,7 @@
                 return
 
     def _answer(self, wire: AgentWire, known: int) -> None:
-        if self.silent or wire.closed_at:
+        if wire.closed_at:
             return
         if known < 0:
             body = self.whole()
--- a/rainhitch/rehearsal/world/node.py
+++ b/rainhitch/rehearsal/world/node.py
@@ -17,7 +17,7 @@
 import hiredis
 
 from rainhitch.rehearsal.world.link import Link, Wire
-from rainhitch.rehearsal.world.machine import Budget, Machine, Memory, Repeats
+from rainhitch.rehearsal.world.machine import Budget, Machine, Memory
 
 BUSY = b"-BUSY\r\n"
 FAILED = b"-ERR failed\r\n"
@@ -177,7 +177,7 @@
         spec = self.spec
         self.machine = Machine(spec.cores, spec.speed, spec.slots, spec.queue)
         self.budget = Budget(spec.tip_multiple, int(spec.tip_s * 1e9))
-        self.memory, self.repeats = Memory(spec.memory), Repeats()
+        self.memory = Memory(spec.memory)
         self.links = [Link(n, lambda link: NodeWire(link, self)) for n in range(self.routers)]
         self.at_work: dict[str, tuple[NodeWire, Turn]] = {}
         self.open: set[NodeWire] = set()
--- a/rainhitch/rehearsal/world/part.py
+++ b/rainhitch/rehearsal/world/part.py
@@ -1,8 +1,11 @@
 """What every part of a day's world does in its process: heed the stage, act on cues, keep a ledger."""
 
 import asyncio
+import os
 import sys
 import time
+import traceback
+from collections.abc import Coroutine
 from pathlib import Path
 from typing import Any
 
@@ -22,8 +25,23 @@
         self.stalls: list[tuple[int, int]] = []  # monotonic ns: since when, until when
         self.done = asyncio.Event()
         self.zero = 0
+        self.tasks: set[asyncio.Task[None]] = set()
         self.bus: asyncio.StreamWriter | None = None
 
+    def spawn(self, what: Coroutine[Any, Any, None]) -> None:
+        """Runs beside the rest. Guards the day against a part that goes on without a piece of itself: an
+        exception ends the process, which the stage reports."""
+        task = self.loop.create_task(what)
+        self.tasks.add(task)
+        task.add_done_callback(self._spawned)
+
+    def _spawned(self, task: asyncio.Task[None]) -> None:
+        self.tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            traceback.print_exception(task.exception())
+            sys.stderr.flush()
+            os._exit(1)
+
     def ready(self) -> Json:
         """What the stage is told once this part stands."""
         return {}
--- a/rainhitch/rehearsal/world/room.py
+++ b/rainhitch/rehearsal/world/room.py
@@ -61,8 +61,7 @@
 
     def heed(self, message: Json) -> None:
         if "bus" in message:
-            task = self.loop.create_task(self.listen(message["bus"]))
-            task.add_done_callback(lambda one: one.exception() if not one.cancelled() else None)
+            self.spawn(self.listen(message["bus"]))
 
     async def listen(self, path: str) -> None:
         reader, self.bus = await asyncio.open_unix_connection(path)
--- a/tests/rehearsal/test_judge.py
+++ b/tests/rehearsal/test_judge.py
@@ -230,6 +230,7 @@
 def test_a_value_that_was_made_for_another_request_is_found(world: World) -> None:
     id, other = world.ask(0), world.served(10)
     world.sent(id, 0, answered=100, kind="served", own=False, detail=f"{other}:k:a-0")
+    world.attempt(id, 1, 50)
     assert world.found() == [("lost", id)]
 
 
@@ -419,10 +420,22 @@
     assert world.found() == [("overrun", "a-0")] * broken
 
 
-@pytest.mark.parametrize(("cold", "broken"), [(12, True), (2, False)])
-def test_a_database_stopped_by_misses_at_cold_nodes_is_found(world: World, cold: int, broken: bool) -> None:
-    world.nodes["a-0"]["starts"] = [ns(500)]
-    world.stops = [(ns(4000), True)]
+@pytest.mark.parametrize(
+    ("cold", "started", "pressed", "broken"),
+    [
+        (12, 500, True, True),
+        (12, 500, False, False),  # it was stopped on cue
+        (2, 500, True, False),
+        (6, 3900, True, False),  # more than was due, but no large part
+        (8, 3900, True, True),
+        (8, 500, True, False),  # a large part, but what was due to it
+    ],
+)
+def test_a_database_stopped_by_misses_at_cold_nodes_is_found(
+    world: World, cold: int, started: int, pressed: bool, broken: bool
+) -> None:
+    world.nodes["a-0"]["starts"] = [ns(started)]
+    world.stops = [(ns(4000), pressed)]
     for n in range(20):
         id = world.ask(3000)
         world.sent(id, 3000, answered=3900, kind="failed")
@@ -431,11 +444,6 @@
     assert world.found() == [("overrun", "database")] * broken
 
 
-def test_a_database_that_was_stopped_on_cue_accuses_nobody(world: World) -> None:
-    world.stops = [(ns(4000), False)]
-    assert not world.found()
-
-
 def test_a_crash_is_a_finding_with_its_last_lines(world: World) -> None:
     world.crashes[1] = {"router": 1, "at": ns(500), "why": "ended with 3", "log": ["out of ideas"]}
     (one,) = breaches(world.evidence())
--- a/tests/rehearsal/test_machine.py
+++ b/tests/rehearsal/test_machine.py
@@ -3,7 +3,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from rainhitch.rehearsal.world.machine import DROPS_FOR, SLACK, Budget, Machine, Memory, Overload, Repeats
+from rainhitch.rehearsal.world.machine import DROPS_FOR, Budget, Machine, Memory, Overload, Repeats
 
 MILLI = 1_000_000
 SECOND = 1_000_000_000
@@ -82,7 +82,7 @@
 @given(st.floats(1.0, 5.0), st.floats(0.5, 8.0))
 def test_a_budget_holds_a_window_and_a_little_more(multiple: float, capacity: float) -> None:
     budget = Budget(multiple, SECOND)
-    whole = multiple * capacity * 1_000_000 * SLACK
+    whole = multiple * capacity * 1_000_000 * 1.25  # a quarter for chance
     assert not budget.over(0, whole * 0.5, capacity)
     assert not budget.over(SECOND // 2, whole * 0.49, capacity)
     assert budget.over(SECOND // 2, whole * 0.02, capacity)
--- a/tests/rehearsal/test_play.py
+++ b/tests/rehearsal/test_play.py
@@ -1,5 +1,6 @@
 """Whole days: two short ones and the proof of the judge, played as a user does; records, Ctrl-C, crashes."""
 
+import asyncio
 import os
 import signal
 import subprocess
@@ -12,6 +13,8 @@
 import pytest
 from program import ROOT
 
+from rainhitch.rehearsal.world.part import Part
+
 VOID = 3
 TRIES = 3  # of a day that the machine spoilt
 SMALL = """
@@ -114,6 +117,14 @@
     assert ended.returncode == 0, ended.stdout + ended.stderr
     told: dict[str, Any] = orjson.loads(made.read_bytes())
     assert told["service"] > 0.8 and not told["breaches"] and told["seed"] == 5
+    parts = orjson.loads((records / "ledgers.json").read_bytes())["parts"]
+    met = [
+        one["outcome"]
+        for role, rows in parts.items()
+        for one in rows.get("attempts", [])
+        if one["cold"] is False
+    ]
+    assert met.count("served") > 60  # what the database fetched was stored where it had been missed
     shown = rehearse("report", str(records), "--json", str(again))
     assert again.read_bytes() == made.read_bytes() and shown.stdout == ended.stdout
 
@@ -159,6 +170,24 @@
     assert "over its memory" in ended.stdout + ended.stderr and ended.returncode in (1, 2)
 
 
+async def failing(folder: Path) -> None:
+    """A part of which a piece fails at once."""
+
+    async def end_badly() -> None:
+        raise RuntimeError("a piece of it is gone")
+
+    Part(folder, {"plan": {"cues": []}, "scenario": {}}).spawn(end_badly())
+    await asyncio.sleep(30)
+
+
+def test_a_part_of_the_world_that_fails_is_told_and_no_day_goes_on_without_it() -> None:
+    code = "import asyncio, pathlib, test_play\n"
+    code += "asyncio.run(test_play.failing(pathlib.Path('x')))"
+    env = {**os.environ, "PYTHONPATH": f"{ROOT}:{Path(__file__).parent}:{ROOT / 'tests'}"}
+    ended = subprocess.run([sys.executable, "-c", code], env=env, capture_output=True, text=True, timeout=60)
+    assert ended.returncode == 1 and "RuntimeError: a piece of it is gone" in ended.stderr
+
+
 @pytest.mark.parametrize("number", [signal.SIGINT, signal.SIGTERM])
 def test_an_interrupt_ends_all_that_was_started(tmp_path: Path, number: signal.Signals) -> None:
     folder = tmp_path / "run"
--- a/tests/rehearsal/test_world.py
+++ b/tests/rehearsal/test_world.py
@@ -405,7 +405,9 @@
     await soon(lambda: agent.waiting)
     agent.silence(True)
     agent.push(entry("a", "Gone"))
-    assert await line.silent() and not agent.rows
+    other = await dial(agent.endpoint)
+    other.send("GET /api/targets HTTP/1.1\r\nHost: x\r\n\r\n")
+    assert await line.silent() and await other.silent() and not agent.rows
     agent.silence(False)
     again = await dial(agent.endpoint)
     again.send("GET /api/targets HTTP/1.1\r\nHost: x\r\n\r\n")
