Let no router outlive the kit that started it, however that ended

A kit that was killed outright left its routers running. They are asked to be killed with it (PR_SET_PDEATHSIG), as the parts of the world end when their input does. The test kills the kit with SIGKILL; it fails without this.

--- a/rainhitch/rehearsal/routers.py
+++ b/rainhitch/rehearsal/routers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import ctypes
 import os
 import resource
 import shlex
@@ -21,6 +22,8 @@
 READY_WITHIN = 30.0  # s from the start until it answers PING
 ENDS_WITHIN = 5.7  # s after SIGTERM: the longest deadline, 5 s, and 0.7 s more
 LAST_LINES = 5
+PR_SET_PDEATHSIG = 1  # of prctl(2)
+LIBC = ctypes.CDLL(None)  # loaded before any process is started
 MILLI = 1_000_000
 
 
@@ -102,6 +105,11 @@
     }
 
 
+def end_with_parent() -> None:
+    """Run in a new process: it is killed when the one that started it ends, however that came about."""
+    LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 def free_port() -> int:
     with socket.socket() as one:
         one.bind(("127.0.0.1", 0))
@@ -162,6 +170,7 @@
                 stdout=log,
                 stderr=log,
                 start_new_session=True,
+                preexec_fn=end_with_parent,
             )
         self._note("start")
         with contextlib.suppress(ProcessLookupError):
--- a/tests/rehearsal/test_play.py
+++ b/tests/rehearsal/test_play.py
@@ -188,7 +188,7 @@
     assert ended.returncode == 1 and "RuntimeError: a piece of it is gone" in ended.stderr
 
 
-@pytest.mark.parametrize("number", [signal.SIGINT, signal.SIGTERM])
+@pytest.mark.parametrize("number", [signal.SIGINT, signal.SIGTERM, signal.SIGKILL])
 def test_an_interrupt_ends_all_that_was_started(tmp_path: Path, number: signal.Signals) -> None:
     folder = tmp_path / "run"
     folder.mkdir()
@@ -201,5 +201,10 @@
     assert len(left(folder)) >= 8  # its folder, itself, the centre, two rooms, two routers, clients
     running.send_signal(number)
     _, told = running.communicate(timeout=30)
-    assert running.returncode == 130 and "interrupted" in told
-    assert not left(folder)
+    if number is signal.SIGKILL:
+        while len(left(folder)) > 1 and time.monotonic() < limit:
+            time.sleep(0.05)
+        assert [Path(one).parent for one in left(folder)] == [folder]  # all ends with it, its files stay
+    else:
+        assert running.returncode == 130 and "interrupted" in told
+        assert not left(folder)
