--- a/rainhitch/rehearsal/plain.py
+++ b/rainhitch/rehearsal/plain.py
@@ -57,46 +57,25 @@
         self.writer.transport.abort()
 
 
-class Plain:
-    """The whole of it."""
+async def read_http(reader: asyncio.StreamReader) -> tuple[int, bytes]:
+    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").lower().split("\r\n")
+    length = next(int(one.split(":")[1]) for one in head if one.startswith("content-length:"))
+    return int(head[0].split(" ")[1]), await reader.readexactly(length)
+
+
+class Listed:
+    """The list as this router holds it, by one watch after the other."""
 
     def __init__(self, config: Json, mode: str) -> None:
-        self.config, self.mode = config, mode
-        info = config["settings"]
-        self.database_kind = info["hostTypes"][info["specifics"]["originKind"]]
-        self.effects = {one["name"]: one["effect"] for one in info["classes"]}
+        self.discovery, self.mode = config["discovery"], mode
         self.entries: Json = {one["uid"]: one for one in config["known"]["targets"]}
         self.left: dict[str, float] = {}  # when a node was told to drain
         self.fresh = ""  # a node that has just come back
         self.rev = config["known"]["rev"]
-        self.idle: dict[str, list[Line]] = defaultdict(list)
-        self.random = random.Random(config["seed"])
-        self.taken = 0
-        self.held: set[asyncio.Task[None]] = set()
-        self.last = b""
-        self.clients: dict[asyncio.StreamWriter, bool] = {}  # whether it waits for an answer
-        self.stopping = False
 
-    async def run(self) -> None:
-        host, _, port = self.config["listen"].rpartition(":")
-        server = await asyncio.start_server(self._client, host, int(port))
-        watching = asyncio.create_task(self._watch())
-        stop = asyncio.Event()
-        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop.set)
-        asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, lambda: None)
-        await stop.wait()
-        await asyncio.sleep(0.5)
-        server.close()
-        self.stopping = True
-        for writer in [one for one, waits in self.clients.items() if not waits]:
-            writer.close()
-        if self.held:
-            await asyncio.wait(self.held, timeout=1.7)
-        watching.cancel()
-
-    async def _watch(self) -> None:
+    async def watch(self) -> None:
         """Follows the list, one call after the other."""
-        host, _, port = self.config["discovery"].rpartition(":")
+        host, _, port = self.discovery.rpartition(":")
         whole = True
         while True:
             try:
@@ -105,13 +84,13 @@
                     query = "" if whole else f"?from={self.rev}&hold_ms=5000"
                     writer.write(f"GET /api/targets{query} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
                     async with asyncio.timeout(8):
-                        self._take(orjson.loads((await self._http(reader))[1]))
+                        self.take(orjson.loads((await read_http(reader))[1]))
                     whole = False
             except (OSError, TimeoutError, ValueError, asyncio.IncompleteReadError):
                 whole = True
                 await asyncio.sleep(0.2)
 
-    def _take(self, told: Json) -> None:
+    def take(self, told: Json) -> None:
         if told["rev"] < self.rev:
             return
         self.rev = told["rev"]
@@ -142,6 +121,41 @@
         if uid in self.left:
             self.entries.pop(uid, None)
 
+
+class Plain:
+    """The whole of it."""
+
+    def __init__(self, config: Json, mode: str) -> None:
+        self.config, self.mode = config, mode
+        info = config["settings"]
+        self.database_kind = info["hostTypes"][info["specifics"]["originKind"]]
+        self.effects = {one["name"]: one["effect"] for one in info["classes"]}
+        self.list = Listed(config, mode)
+        self.idle: dict[str, list[Line]] = defaultdict(list)
+        self.random = random.Random(config["seed"])
+        self.taken = 0
+        self.held: set[asyncio.Task[None]] = set()
+        self.last = b""
+        self.clients: dict[asyncio.StreamWriter, bool] = {}  # whether it waits for an answer
+        self.stopping = False
+
+    async def run(self) -> None:
+        host, _, port = self.config["listen"].rpartition(":")
+        server = await asyncio.start_server(self._client, host, int(port))
+        watching = asyncio.create_task(self.list.watch())
+        stop = asyncio.Event()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop.set)
+        asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, lambda: None)
+        await stop.wait()
+        await asyncio.sleep(0.5)
+        server.close()
+        self.stopping = True
+        for writer in [one for one, waits in self.clients.items() if not waits]:
+            writer.close()
+        if self.held:
+            await asyncio.wait(self.held, timeout=1.7)
+        watching.cancel()
+
     async def _client(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """One client: a command, its answer, the next."""
         parser = hiredis.Reader()
@@ -209,12 +223,12 @@
             return BUSY if not ran or effect == "safe" else FAILED
 
     def _choose(self) -> str:
-        nodes = sorted(uid for uid, one in self.entries.items() if one["model"] != self.database_kind)
+        nodes = sorted(uid for uid, one in self.list.entries.items() if one["model"] != self.database_kind)
         if not nodes:
             raise NeverRanError
-        if self.mode == "pushes-over" and self.fresh in nodes:
-            return self.fresh
-        if self.mode.startswith("drains-at") and (leaving := sorted(set(self.left) & set(nodes))):
+        if self.mode == "pushes-over" and self.list.fresh in nodes:
+            return self.list.fresh
+        if self.mode.startswith("drains-at") and (leaving := sorted(set(self.list.left) & set(nodes))):
             return leaving[0]
         return self.random.choice(nodes)
 
@@ -257,7 +271,7 @@
         return value
 
     async def _database(self, words: list[bytes]) -> bytes:
-        uid = next((uid for uid, one in self.entries.items() if one["model"] == self.database_kind), "")
+        uid = next((uid for uid, one in self.list.entries.items() if one["model"] == self.database_kind), "")
         if not uid:
             raise NeverRanError
         line = await self._line(uid)
@@ -267,7 +281,7 @@
         head += f"Content-Length: {len(body)}\r\n" if body else ""
         line.writer.write(head.encode() + b"\r\n" + body)
         try:
-            status, answer = await self._http(line.reader)
+            status, answer = await read_http(line.reader)
         except BaseException:
             line.close()
             raise
@@ -278,18 +292,12 @@
             raise ValueError(status)
         return answer
 
-    @staticmethod
-    async def _http(reader: asyncio.StreamReader) -> tuple[int, bytes]:
-        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").lower().split("\r\n")
-        length = next(int(one.split(":")[1]) for one in head if one.startswith("content-length:"))
-        return int(head[0].split(" ")[1]), await reader.readexactly(length)
-
     async def _line(self, uid: str) -> Line:
         while self.idle[uid]:
             line = self.idle[uid].pop()
             if not line.writer.is_closing() and not line.reader.at_eof():
                 return line
-        host, _, port = self.entries[uid]["endpoint"].rpartition(":")
+        host, _, port = self.list.entries[uid]["endpoint"].rpartition(":")
         try:
             async with asyncio.timeout(0.25):
                 return Line(*await asyncio.open_connection(host, int(port)))
--- a/rainhitch/rehearsal/world/database.py
+++ b/rainhitch/rehearsal/world/database.py
@@ -12,11 +12,10 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Any
 from urllib.parse import unquote
 from zlib import crc32
 
-from rainhitch.rehearsal.world.link import Link
+from rainhitch.rehearsal.world.link import Ledgered, Link
 from rainhitch.rehearsal.world.machine import Overload, Repeats
 from rainhitch.rehearsal.world.web import Request, WebWire
 
@@ -36,7 +35,7 @@
 
 
 @dataclass(slots=True, eq=False)
-class Fetch:
+class Fetch(Ledgered):
     """One request as the database saw it; times are monotonic ns, of when the router sent it."""
 
     router: int
@@ -54,12 +53,6 @@
     executed: bool = False  # a write that was carried out, not dropped as a repeat
     wire: "DatabaseWire | None" = None
 
-    def row(self) -> dict[str, Any]:
-        told = {name: getattr(self, name) for name in self.__slots__ if name != "wire"}
-        if not self.closed and self.wire is not None:
-            told["closed"] = self.wire.closed_at
-        return told
-
 
 class DatabaseWire(WebWire):
     """A router's connection to the database."""
--- a/rainhitch/rehearsal/world/link.py
+++ b/rainhitch/rehearsal/world/link.py
@@ -7,11 +7,12 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import socket
 import struct
 import time
 from collections.abc import Callable
-from typing import cast
+from typing import Any, cast
 
 BACKLOG = 1024
 RESET = struct.pack("ii", 1, 0)  # SO_LINGER: a close resets
@@ -147,6 +148,21 @@
         self.listener.close()
 
 
+class Ledgered:
+    """A row of a stand-in's ledger: a dataclass with slots, one of which is the `wire` it came on."""
+
+    __slots__ = ()
+
+    def row(self) -> dict[str, Any]:
+        """The row as JSON takes it; a wire that has closed meanwhile tells when."""
+        names = [one.name for one in dataclasses.fields(self)]  # type: ignore[arg-type]
+        told = {name: getattr(self, name) for name in names if name != "wire"}
+        wire = getattr(self, "wire", None)
+        if not told["closed"] and wire is not None:
+            told["closed"] = wire.closed_at
+        return told
+
+
 class Wire(asyncio.Protocol):
     """One connection of a router, at the stand-in's end. Subclasses read `arrived` and write with `send`."""
 
--- a/rainhitch/rehearsal/world/node.py
+++ b/rainhitch/rehearsal/world/node.py
@@ -16,7 +16,7 @@
 
 import hiredis
 
-from rainhitch.rehearsal.world.link import Link, Wire
+from rainhitch.rehearsal.world.link import Ledgered, Link, Wire
 from rainhitch.rehearsal.world.machine import Budget, Machine, Memory
 
 BUSY = b"-BUSY\r\n"
@@ -55,7 +55,7 @@
 
 
 @dataclass(slots=True, eq=False)
-class Attempt:
+class Attempt(Ledgered):
     """One command as the node saw it; times are monotonic ns, of when the router sent it."""
 
     node: str
@@ -74,12 +74,6 @@
     cold: bool = False  # the node was warming up
     wire: "NodeWire | None" = None
 
-    def row(self) -> dict[str, Any]:
-        told = {name: getattr(self, name) for name in self.__slots__ if name != "wire"}
-        if not self.closed and self.wire is not None:
-            told["closed"] = self.wire.closed_at
-        return told
-
 
 def _length(command: Any) -> int:
     """How many bytes a command took on the wire."""
