--- /dev/null
+++ b/tests/rehearsal/test_clients.py
@@ -0,0 +1,190 @@
+"""The scripted clients against a scripted router: what they send and when, and what their ledger says."""
+
+import asyncio
+import contextlib
+import time
+from collections.abc import AsyncIterator, Callable
+from typing import Any
+
+import orjson
+from peers import PATIENCE, Cache, soon
+
+from rainhitch.rehearsal.scenario import Scenario
+from rainhitch.rehearsal.world.clients import Crowd, Sent
+
+Json = dict[str, Any]
+Answer = Callable[[Any, asyncio.StreamWriter], bytes | None]
+
+
+def served(asked: list[bytes]) -> bytes:
+    value = asked[2] + b":k:n0:"
+    return b"$%d\r\n%b\r\n" % (len(value), value)
+
+
+def ask(at_ms: float, tries: int = 1, wait: int = 400, cls: int = 0, router: int = -1, **more: Any) -> Json:
+    ids = [f"{at_ms:g}.{cls}.{n}" for n in range(tries)]
+    rows = [{"id": id, "wait_ms": wait, "backoff_us": 20_000, "leaves_us": 0, **more} for id in ids]
+    order = "order" if cls == 3 else ""
+    row: Json = {"at": int(at_ms * 1000), "room": 0, "cls": cls, "customer": 0, "key": "k", "work_us": 1}
+    return {**row, "over": False, "honours": True, "order": order, "router": router, "tries": rows}
+
+
+@contextlib.asynccontextmanager
+async def played(
+    answers: list[Answer], asks: list[Json], order: str = "keyed", **clients: Any
+) -> AsyncIterator[tuple[Crowd, list[Cache]]]:
+    """A room's clients through a few requests, with as many routers as there are answers."""
+    routers = [Cache(answer) for answer in answers]
+    for one in routers:
+        await one.start()
+    scenario: Json = orjson.loads(orjson.dumps(Scenario("a", "b")))
+    scenario["clients"] |= clients
+    scenario["classes"][3]["repeats"] = order
+    plan: Json = {"rooms": ["neihu", "banqiao", "taoyuan"], "asks": asks}
+    plan["routers"] = [{"room": plan["rooms"][n % 3]} for n in range(len(routers))]
+    addresses = [(host, int(port)) for host, port in (one.address.split(":") for one in routers)]
+    crowd = Crowd(0, plan, scenario, addresses)
+    try:
+        async with asyncio.timeout(PATIENCE):
+            await crowd.play(time.monotonic_ns() + 20_000_000)
+            await soon(lambda: not crowd.tasks)
+        yield crowd, routers
+    finally:
+        crowd.close()
+        for one in routers:
+            await one.stop()
+
+
+def kinds(crowd: Crowd) -> list[str]:
+    return [one.kind for one in crowd.sent]
+
+
+async def test_a_request_is_sent_when_it_is_due_and_reuses_the_connection_that_is_idle() -> None:
+    async with played([lambda asked, line: served(asked)], [ask(0), ask(100)]) as (crowd, (router,)):
+        assert kinds(crowd) == ["served", "served"] and all(one.own for one in crowd.sent)
+        assert len(router.lines) == 1 and [one.reused for one in crowd.sent] == [False, True]
+        assert all(0 <= one.sent - one.due < 10**9 for one in crowd.sent)
+        name, key, id, info = router.got[0]
+        assert (name, key, id) == (b"C.GET", b"k", b"0.0.0")
+        assert dict(one.split(b"=") for one in info.split(b","))[b"d"] == b"400"
+
+
+async def test_arrivals_wait_for_no_answer() -> None:
+    slow: list[asyncio.StreamWriter] = []
+
+    def hold(asked: Any, line: asyncio.StreamWriter) -> None:
+        slow.append(line)
+
+    async with played([hold], [ask(n * 10) for n in range(5)]) as (crowd, (router,)):
+        assert len(router.got) == len(router.lines) == 5
+        assert kinds(crowd) == [""] * 5  # none was answered, and each client gave up
+
+
+async def test_where_connections_are_kept_each_request_opens_a_new_one() -> None:
+    async with played([lambda a, w: served(a)], [ask(0), ask(60)], connections="kept") as (crowd, (router,)):
+        assert kinds(crowd) == ["served", "served"]
+        assert len(router.lines) == 2 and router.ended == 0
+
+
+async def test_a_write_carries_its_value_and_its_order_key_and_a_retry_the_same_key_under_a_new_id() -> None:
+    def answer(asked: Any, line: asyncio.StreamWriter) -> bytes:
+        return served(asked) if asked[2].endswith(b".1") else b"-BUSY\r\n"
+
+    async with played([answer], [ask(0, tries=2, cls=3)]) as (crowd, (router,)):
+        assert kinds(crowd) == ["refused", "served"]
+        first, second = router.got
+        assert first[0] == b"C.SET" and len(first[4]) == 400 and b",k=order" in first[3]
+        assert b",k=order" in second[3] and b"r=1" in second[3] and b"r=1" not in first[3]
+        assert first[2] != second[2]
+
+
+async def test_a_client_that_heeds_busy_comes_back_when_it_was_told_and_one_that_does_not_at_once() -> None:
+    for honours in (True, False):
+        one = {**ask(0, tries=2, wait=2000), "honours": honours}
+        async with played([lambda asked, line: b"-BUSY 300\r\n"], [one]) as (crowd, _):
+            first, second = crowd.sent
+            assert first.detail == "BUSY 300" and kinds(crowd) == ["refused", "refused"]
+            assert (second.due - first.answered >= 290_000_000) == honours
+
+
+async def test_what_is_not_safe_is_tried_again_only_where_that_is_harmless() -> None:
+    fails: list[Answer] = [lambda asked, line: b"-ERR failed\r\n"]
+    for order, writes in (("keyed", 2), ("unsafe", 1)):
+        async with played(fails, [ask(0, tries=2), ask(50, tries=2, cls=3)], order) as (crowd, _):
+            assert [one.ask for one in crowd.sent].count(0) == 2
+            assert [one.ask for one in crowd.sent].count(1) == writes
+
+
+async def test_a_second_answer_is_in_the_ledger_though_nobody_asked_for_it() -> None:
+    async with played([lambda asked, line: served(asked) * 2], [ask(0), ask(100)]) as (crowd, _):
+        assert kinds(crowd) == ["served", "served"]
+        assert [one["id"] for one in crowd.extras] == ["0.0.0", "100.0.0"]
+
+
+async def test_an_answer_after_the_client_gave_up_is_in_the_ledger_with_its_time() -> None:
+    late: list[Any] = []
+
+    def answer(asked: Any, line: asyncio.StreamWriter) -> None:
+        asyncio.get_running_loop().call_later(0.35, line.write, served(asked))
+        late.append(asked)
+
+    async with played([answer], [ask(0, wait=200)]) as (crowd, _):
+        await soon(lambda: crowd.sent[0].answered)
+        assert crowd.sent[0].answered - crowd.sent[0].sent > 300_000_000 and crowd.sent[0].wait == 200_000_000
+
+
+async def test_who_is_impatient_closes_and_is_noted_as_gone() -> None:
+    async with played([lambda asked, line: None], [ask(0, leaves_us=50_000)]) as (crowd, (router,)):
+        await soon(lambda: router.ended == 1)
+        assert crowd.sent[0].left and not crowd.sent[0].answered
+
+
+async def test_a_request_that_crosses_a_close_between_requests_is_sent_once_more() -> None:
+    def answer(asked: Any, line: asyncio.StreamWriter) -> bytes | None:
+        if len(met) == 1:
+            met.append(asked[2])
+            line.transport.abort()  # closed, as it were, before this one was read
+            return None
+        met.append(asked[2])
+        return served(asked)
+
+    met: list[bytes] = []
+    async with played([answer], [ask(0), ask(100)]) as (crowd, _):
+        assert met == [b"0.0.0", b"100.0.0", b"100.0.0"]
+        assert kinds(crowd) == ["served", "served"] and crowd.sent[1].resent
+
+
+async def test_a_first_request_whose_connection_ends_is_not_sent_again_and_told_as_ended() -> None:
+    def cut(asked: Any, line: asyncio.StreamWriter) -> None:
+        line.transport.abort()
+
+    async with played([cut], [ask(0)]) as (crowd, (router,)):
+        assert kinds(crowd) == ["ended"] and len(router.got) == 1 and crowd.sent[0].ended
+
+
+async def test_a_value_of_another_request_is_not_the_clients_own() -> None:
+    async with played([lambda asked, line: b"$7\r\nother:k\r\n"], [ask(0)]) as (crowd, _):
+        assert kinds(crowd) == ["served"] and not crowd.sent[0].own
+
+
+async def test_the_front_keeps_to_the_room_and_leaves_a_router_that_it_knows_is_down() -> None:
+    routers: list[Answer] = [lambda asked, line: served(asked)] * 4  # the first and the fourth in this room
+    async with played(routers, [], connections="kept") as (crowd, _):
+        assert {crowd._front() for _ in range(8)} == {0, 3}
+        crowd.up[0] = False
+        assert {crowd._front() for _ in range(4)} == {3}
+        crowd.up[3] = False
+        assert {crowd._front() for _ in range(8)} == {1, 2}
+        crowd.up = [False] * 4
+        assert crowd._front() == -1
+
+
+async def test_a_surge_goes_to_its_router_and_no_router_at_all_is_unreachable() -> None:
+    routers: list[Answer] = [lambda asked, line: served(asked)] * 2
+    async with played(routers, [ask(0, router=1)]) as (crowd, both):
+        assert [len(one.got) for one in both] == [0, 1] and crowd.sent[0].router == 1
+        crowd.up = [False, False]
+        sent = Sent(0, 0, "x", wait=10**9)
+        one = ask(0)
+        await crowd._try(one, crowd.scenario["classes"][0], one["tries"][0], sent)
+        assert sent.kind == "unreachable" and not sent.sent
