Excuse what a router held only by a kill or a crash, not by a reload or a late SIGKILL

Read anew, the judge excused a router that was killed 5.7 s after SIGTERM for what it held, and did not excuse one that crashed after a reload. Four ledgers try it from both sides.

--- a/tests/rehearsal/test_judge.py
+++ b/tests/rehearsal/test_judge.py
@@ -216,6 +216,24 @@
     assert world.found() == [("lost", id)]
 
 
+@pytest.mark.parametrize(
+    ("events", "broken"),
+    [
+        (["reload", "ended"], False),  # it crashed: that is a finding of its own
+        (["term", "ended"], True),
+        (["term", "late kill", "ended"], True),
+        (["term", "ended", "start", "ready", "kill", "ended"], False),
+    ],
+)
+def test_what_was_held_at_the_end_is_excused_only_by_a_kill_or_a_crash(
+    world: World, events: list[str], broken: bool
+) -> None:
+    id = world.ask(0)
+    world.sent(id, 0, kind="ended", ended=500)
+    world.events[0] += [(what, ns(100 + 10 * n)) for n, what in enumerate(events)]
+    assert world.found() == [("lost", id)] * broken
+
+
 def test_a_second_answer_is_found(world: World) -> None:
     id = world.served(0)
     world.extras.append({"id": id, "router": 0, "connection": 1, "at": ns(200), "kind": "served"})
