Rehearse a storm of reconnects, and count an early error as the answer that it is

The kit's clients dropped an error that came before they wrote. Those heard out are closed once their command is read. A property test found key floods and surges shifted by another surge: mended.

--- a/rainhitch/node/clients.py
+++ b/rainhitch/node/clients.py
@@ -21,7 +21,7 @@
 UNFINISHED = 2.6  # s for which a command may be on its way, the first from when the client connected
 SPARED = 2.0  # s for which a connection with no request open is left alone at the cap
 LINGER = 1.0  # s for which a client that has its last answer may go on sending,
-MOST_TURNED = 12  # connections that were turned away and are still heard out
+MOST_TURNED = 24  # connections that were turned away and are still heard out
 LINGER_BYTES = 256 << 10  # and how much of that is read
 SMALL = 1024  # bytes of an answer that is kept whatever else is
 SWEEP = 0.2
@@ -56,6 +56,7 @@
         self.transport: asyncio.Transport | None = None
         self.last = False  # nothing more is read; closed once all is answered
         self.advancing = self.blocked = self.lingering = self.yielding = self.spoke = False
+        self.turned = False  # away: there was no room
         self.mute = True
         self.buffered = 0  # bytes as the server counts them
         self.waiting = 0  # of them, in answers whose turn has not come
@@ -71,15 +72,27 @@
         """Says that there is no room and hears the client out. Guards that one answer: a close with the
         client's first command unread is a reset, which overtakes what was written before it."""
         assert self.transport is not None
-        self.last = self.lingering = True
+        self.last = self.lingering = self.turned = True
         self.transport.write(resp.error("max number of clients reached"))
         self.transport.write_eof()
         self.stuck = self.server.loop.call_later(LINGER, self.abort)
         self.server.turn_away(self)
 
+    def _heard_out(self, data: bytes) -> None:
+        """With its one command read, nothing is left that would make of the close a reset."""
+        self.frames.feed(data)
+        try:
+            whole = self.frames.next() is not resp.WAITING
+        except resp.FramingError:
+            whole = True
+        if whole and self.transport is not None:
+            self.transport.close()
+
     def data_received(self, data: bytes) -> None:
         self.mute = False
-        if self.lingering:
+        if self.turned:
+            self._heard_out(data)
+        elif self.lingering:
             # Guards memory and CPU against a client that goes on at full speed: the rest stays unread.
             self.spilt += len(data)
             if self.spilt > LINGER_BYTES and self.transport is not None:
--- a/rainhitch/rehearsal/faults.py
+++ b/rainhitch/rehearsal/faults.py
@@ -27,6 +27,7 @@
     "router-restart": ("router",),
     "router-reload": ("router",),
     "surge": ("router", "for_s", "share"),
+    "reconnect-storm": ("for_s", "clients"),
 }
 PLACES = ("room", "node", "router")
 
@@ -43,6 +44,7 @@
     share: float = tables.number(0.1, 0, 1, "of all traffic, reads, messages or answers")
     keys: int = tables.whole(2, 1, 100, "hot-keys: how many")
     away_s: float = tables.number(0.0, 0, 3600, "node-drain: gone so long, then back cold; 0: for good")
+    clients: int = tables.whole(5000, 1, 100000, "reconnect-storm: so many connect anew and ask at once")
     factor: float = tables.number(4.0, 1, 1000, "database-slow: how many times slower")
     delay_s: float = tables.number(1.0, 0, 600, "how late")
 
--- a/rainhitch/rehearsal/plan.py
+++ b/rainhitch/rehearsal/plan.py
@@ -49,6 +49,8 @@
     order: str  # the order key of a keyed write
     router: int  # -1: whichever the front gives
     tries: list[Try]
+    origin: int = 0  # 0 for the ordinary load, else the number of the fault that adds it, from 1
+    fresh: bool = False  # it comes on a new connection
 
 
 @dataclass(slots=True)
@@ -219,19 +221,10 @@
     """What clients send in the scored day: the ordinary arrivals, the surges, then what faults make of
     them.
     """
-    rows = [(at, -1, 0) for at in _instants(scenario, seed)]
-    for number, one in enumerate(scenario.faults):
-        if one.kind == "surge":
-            random, at = streams(seed, "surge", one.at_s, one.router), one.at_s
-            while (
-                at := at - math.log(1 - random.random()) / (one.share * scenario.traffic.rate)
-            ) < one.until_s:
-                rows.append((micros(at), one.router, number + 1))
-    random, surged = streams(seed, "asks"), streams(seed, "surged")
-    shares = Shares(scenario)
-    # The ordinary ones are drawn first and in their own order, so that a surge shifts none of them.
-    asks = [_ask(scenario, random, keys, at, router) for at, router, surge in rows if not surge]
-    asks += [_ask(scenario, surged, keys, at, router) for at, router, surge in sorted(rows) if surge]
+    random, shares = streams(seed, "asks"), Shares(scenario)
+    asks = [_ask(scenario, random, keys, at) for at in _instants(scenario, seed)]
+    for number, fault in enumerate(scenario.faults):
+        asks += _extra(scenario, seed, fault, number + 1)
     asks.sort(key=lambda ask: (ask.at, ask.tries[0].id))
     for one in scenario.faults:
         if one.kind in ("hot-keys", "key-flood"):
@@ -241,11 +234,30 @@
     return asks
 
 
+def _extra(scenario: Scenario, seed: int, fault: Fault, origin: int) -> list[Ask]:
+    """What a surge or a storm of reconnects adds; from a stream of its own, so that it shifts nothing."""
+    if fault.kind not in ("surge", "reconnect-storm"):
+        return []
+    random, keys = streams(seed, fault.kind, fault.at_s, fault.router), Keys(scenario, seed)
+    times, at = [], fault.at_s
+    if fault.kind == "surge":
+        while (
+            at := at - math.log(1 - random.random()) / (fault.share * scenario.traffic.rate)
+        ) < fault.until_s:
+            times.append(micros(at))
+    else:
+        times = sorted(micros(random.uniform(fault.at_s, fault.until_s)) for _ in range(fault.clients))
+    asks = [_ask(scenario, random, keys, at) for at in times]
+    for ask in asks:
+        ask.origin, ask.router, ask.fresh = origin, fault.router, fault.kind == "reconnect-storm"
+    return asks
+
+
 def _pick(random: Random, weights: list[float]) -> int:
     return random.choices(range(len(weights)), weights)[0]
 
 
-def _ask(scenario: Scenario, random: Random, keys: Keys, at: int, router: int) -> Ask:
+def _ask(scenario: Scenario, random: Random, keys: Keys, at: int) -> Ask:
     classes, customers, clients = scenario.classes, scenario.customers, scenario.clients
     cls = _pick(random, [one.share for one in classes])
     customer = _pick(random, [one.share * one.usage for one in customers])
@@ -258,7 +270,7 @@
     order = f"{random.getrandbits(64):016x}"
     honours = random.random() < clients.honour
     keyed = order if spec.repeats == "keyed" else ""
-    return Ask(at, room, cls, customer, key, max(1, round(work * 1000)), False, honours, keyed, router, tries)
+    return Ask(at, room, cls, customer, key, max(1, round(work * 1000)), False, honours, keyed, -1, tries)
 
 
 def _try(scenario: Scenario, random: Random, spec: WorkClass, number: int) -> Try:
@@ -273,18 +285,18 @@
 
 def _bend(scenario: Scenario, seed: int, keys: Keys, fault: Fault, asks: list[Ask]) -> None:
     """Hot keys and floods: part of the requests of the time ask for other keys."""
-    ordinary, surged = (streams(seed, fault.kind, fault.at_s, which) for which in ("", "surged"))
+    ordinary, added = (streams(seed, fault.kind, fault.at_s, which) for which in ("", "added"))
     begin, end = micros(fault.at_s), micros(fault.until_s)
     hot = [keys.name(f"{fault.kind}/{fault.at_s}/{n}") for n in range(fault.keys)]
-    for number, ask in enumerate(asks):
+    for ask in asks:
         if not begin <= ask.at < end:
             continue
-        random = ordinary if ask.router < 0 else surged
+        random = ordinary if not ask.origin else added
         chosen, which = random.random() < fault.share, random.randrange(fault.keys)
         if chosen and fault.kind == "hot-keys":
             ask.key = hot[which]
         elif chosen and not scenario.classes[ask.cls].write:
-            ask.key = keys.name(f"{fault.kind}/{fault.at_s}/once/{number}")
+            ask.key = keys.name(f"{fault.kind}/{fault.at_s}/once/{ask.tries[0].id}")
 
 
 def _cues(scenario: Scenario, fault: Fault, random: Random, number: int) -> list[Json]:
--- a/rainhitch/rehearsal/world/clients.py
+++ b/rainhitch/rehearsal/world/clients.py
@@ -56,6 +56,8 @@
         self.last = ""  # the id of the request answered last
         self.idle_since = 0.0
         self.uses = 0
+        self.got = 0  # bytes since the last request
+        self.early: list[object] = []  # said before anything was asked: it answers the first request
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
@@ -66,15 +68,24 @@
         return self.transport is not None and not self.transport.is_closing()
 
     def ask(self, sent: Sent, data: bytes, done: Callable[[], None]) -> None:
-        assert self.transport is not None
         self.sent, self.done = sent, done
         sent.router, sent.connection, sent.reused = self.router, self.number, self.uses > 0
         self.uses += 1
-        self.transport.write(data)
+        self.got = 0
+        if self.transport is None and not self.early:
+            self.sent = self.done = None
+            sent.kind, sent.ended = "unreachable", time.monotonic_ns()  # closed before anything was written
+            done()
+            return
+        if self.usable and self.transport is not None:
+            self.transport.write(data)
         sent.sent = time.monotonic_ns()
+        if self.early:
+            self._answer(self.early.pop(0), sent.sent)
 
     def data_received(self, data: bytes) -> None:
         now = time.monotonic_ns()
+        self.got += len(data)
         self.reader.feed(data)
         try:
             while (answer := self.reader.gets()) is not False:
@@ -89,6 +100,9 @@
         value = answer.decode("latin-1") if isinstance(answer, bytes) else ""
         made_for = value.partition(":")[0]
         sent = self.sent
+        if sent is None and not self.uses:
+            self.early.append(answer)
+            return
         if sent is None or (made_for and made_for == self.last and made_for != sent.id):
             kind = "served" if value else str(answer)[:60]
             self.crowd.extra(self, self.last, kind, now)
@@ -115,7 +129,7 @@
         sent, done, self.sent, self.done = self.sent, self.done, None, None
         if sent is not None and done is not None:
             sent.kind, sent.ended = "ended", time.monotonic_ns()
-            sent.detail = "partly answered" if self.reader.has_data() else ""
+            sent.detail = "partly answered" if self.got else ""
             done()
 
     def close(self) -> None:
@@ -197,7 +211,7 @@
     async def _try(self, ask: Json, spec: Json, one: Json, sent: Sent) -> None:
         """Sends a try, once more where its connection was closed between requests, and waits for its end."""
         for again in range(2):
-            line = await self._line(ask["router"], fresh=again > 0)
+            line = await self._line(ask["router"], fresh=again > 0 or ask["fresh"])
             if line is None:
                 sent.kind, sent.ended = "unreachable", time.monotonic_ns()
                 return
--- a/tests/rehearsal/test_clients.py
+++ b/tests/rehearsal/test_clients.py
@@ -26,7 +26,15 @@
     rows = [{"id": id, "wait_ms": wait, "backoff_us": 20_000, "leaves_us": 0, **more} for id in ids]
     order = "order" if cls == 3 else ""
     row: Json = {"at": int(at_ms * 1000), "room": 0, "cls": cls, "customer": 0, "key": "k", "work_us": 1}
-    return {**row, "over": False, "honours": True, "order": order, "router": router, "tries": rows}
+    return {
+        **row,
+        "over": False,
+        "honours": True,
+        "order": order,
+        "router": router,
+        "tries": rows,
+        "fresh": False,
+    }
 
 
 @contextlib.asynccontextmanager
@@ -86,6 +94,12 @@
         assert len(router.lines) == 2 and router.ended == 0
 
 
+async def test_who_reconnects_opens_a_new_connection_though_one_is_idle() -> None:
+    asks = [ask(0), {**ask(100), "fresh": True}]
+    async with played([lambda asked, line: served(asked)], asks) as (crowd, (router,)):
+        assert len(router.lines) == 2 and not crowd.sent[1].reused
+
+
 async def test_a_write_carries_its_value_and_its_order_key_and_a_retry_the_same_key_under_a_new_id() -> None:
     def answer(asked: Any, line: asyncio.StreamWriter) -> bytes:
         return served(asked) if asked[2].endswith(b".1") else b"-BUSY\r\n"
@@ -162,6 +176,41 @@
         assert kinds(crowd) == ["ended"] and len(router.got) == 1 and crowd.sent[0].ended
 
 
+async def test_an_error_that_comes_before_the_request_is_its_answer() -> None:
+    """As a router says it that has no room: the line and the end are there before the client writes."""
+
+    async def turn_away(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        writer.write(b"-ERR max number of clients reached\r\n")
+        writer.close()
+
+    server = await asyncio.start_server(turn_away, "127.0.0.1", 0)
+    async with played([lambda asked, line: served(asked)], []) as (crowd, _):
+        crowd.addresses = [server.sockets[0].getsockname()]
+        line = await crowd._line(-1, fresh=True)
+        assert line is not None
+        await soon(lambda: line.early and line.transport is None)  # all has come before the request goes
+        sent, over = Sent(0, 0, "x", wait=10**9), asyncio.Event()
+        line.ask(sent, b"...", over.set)
+        assert over.is_set() and sent.kind == "failed" and "max number" in sent.detail and sent.sent
+    server.close()
+
+
+async def test_a_connection_that_ends_before_the_request_with_no_word_took_nothing() -> None:
+    async def hang_up(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        writer.close()
+
+    server = await asyncio.start_server(hang_up, "127.0.0.1", 0)
+    async with played([lambda asked, line: served(asked)], []) as (crowd, _):
+        crowd.addresses = [server.sockets[0].getsockname()]
+        line = await crowd._line(-1, fresh=True)
+        assert line is not None
+        await soon(lambda: line.transport is None)
+        sent, over = Sent(0, 0, "x", wait=10**9), asyncio.Event()
+        line.ask(sent, b"...", over.set)
+        assert over.is_set() and sent.kind == "unreachable" and not sent.sent
+    server.close()
+
+
 async def test_a_value_of_another_request_is_not_the_clients_own() -> None:
     async with played([lambda asked, line: b"$7\r\nother:k\r\n"], [ask(0)]) as (crowd, _):
         assert kinds(crowd) == ["served"] and not crowd.sent[0].own
--- a/tests/rehearsal/test_plan.py
+++ b/tests/rehearsal/test_plan.py
@@ -57,6 +57,7 @@
         Fault("messages-lost", 1.0, 1.0, share=0.5),
         Fault("router-kill", 2.0, 1.0, router=1),
         Fault("surge", 1.0, 2.0, router=2, share=0.3),
+        Fault("reconnect-storm", 2.0, 1.0, clients=60),
         Fault("hot-keys", 1.0, 2.0, share=0.3, keys=1),
         Fault("key-flood", 3.0, 2.0, share=0.3),
     ]
@@ -65,7 +66,7 @@
 
 def others(plan: Plan, keys: bool = True) -> list[object]:
     """What clients of the ordinary load do: all but who is beyond a share, and the keys where asked."""
-    rows = [replace(ask, over=False, key=ask.key if keys else "") for ask in plan.asks if ask.router < 0]
+    rows = [replace(ask, over=False, key=ask.key if keys else "") for ask in plan.asks if not ask.origin]
     return [rows, plan.nodes, plan.warm]
 
 
@@ -118,6 +119,22 @@
     assert 280 < len(surged) < 520 and all(2 * MICRO <= ask.at < 4 * MICRO for ask in surged)
 
 
+def test_a_storm_of_reconnects_comes_on_new_connections_within_its_time() -> None:
+    storm = Fault("reconnect-storm", 2.0, 0.5, clients=300)
+    stormy = [ask for ask in draw(replace(SHORT, faults=[storm]), "x", 1).asks if ask.origin]
+    assert len(stormy) == 300 and all(ask.fresh and ask.router == -1 for ask in stormy)
+    assert all(2 * MICRO <= ask.at <= 2.5 * MICRO for ask in stormy)
+    rooms = [sum(ask.room == room for ask in stormy) for room in range(3)]
+    assert min(rooms) > 50
+
+
+def test_one_surge_shifts_no_other() -> None:
+    first = Fault("surge", 1.0, 2.0, router=0, share=0.3)
+    one = draw(replace(SHORT, faults=[first]), "x", 1)
+    two = draw(replace(SHORT, faults=[first, Fault("surge", 1.5, 2.0, router=1, share=0.3)]), "x", 1)
+    assert [a.tries for a in one.asks if a.origin == 1] == [a.tries for a in two.asks if a.origin == 1]
+
+
 def test_what_is_beyond_a_share_is_told_by_a_bucket_filled_at_the_quota() -> None:
     whole = Customer("a", 1, 1)
     day = replace(PERFECT, customers=[whole], day=Day(20.0, 0.5), traffic=Traffic(rate=100.0, quota_rps=40.0))
