Keep descriptors to answer every newcomer in a storm of reconnects

Eight are heard out now, and the oldest makes room by being read past the loop and closed. A test with 150 newcomers at once at a real process with 64 descriptors fails with 24.

--- a/rainhitch/node/clients.py
+++ b/rainhitch/node/clients.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import logging
+import os
 import socket
 from collections import Counter, deque
 from collections.abc import Callable
@@ -21,7 +22,7 @@
 UNFINISHED = 2.6  # s for which a command may be on its way, the first from when the client connected
 SPARED = 2.0  # s for which a connection with no request open is left alone at the cap
 LINGER = 1.0  # s for which a client that has its last answer may go on sending,
-MOST_TURNED = 24  # connections that were turned away and are still heard out
+MOST_TURNED = 8  # connections that were turned away and are still heard out
 LINGER_BYTES = 256 << 10  # and how much of that is read
 SMALL = 1024  # bytes of an answer that is kept whatever else is
 SWEEP = 0.2
@@ -88,6 +89,15 @@
         if whole and self.transport is not None:
             self.transport.close()
 
+    def hurry(self) -> None:
+        """Others wait to be heard out: what has come is read past the loop, then all is closed. An abort
+        would throw away what was not sent yet, and be a reset."""
+        self.server.turned.pop(self, None)
+        if self.transport is not None and not self.transport.is_closing():
+            with contextlib.suppress(OSError):
+                os.read(self.transport.get_extra_info("socket").fileno(), LINGER_BYTES)
+            self.transport.close()
+
     def data_received(self, data: bytes) -> None:
         self.mute = False
         if self.turned:
@@ -335,7 +345,7 @@
         self.count("turned away")
         self.turned[client] = None
         if len(self.turned) > MOST_TURNED:
-            next(iter(self.turned)).abort()
+            next(iter(self.turned)).hurry()
 
     def _make_room(self) -> bool:
         """Closes who lingers longest, has been mute or idle longest. Guards newcomers against connections
--- a/tests/node/test_growth.py
+++ b/tests/node/test_growth.py
@@ -22,6 +22,7 @@
 from rainhitch.node.pool import Connection, Pool
 from rainhitch.policy.jobs import Job
 from rainhitch.policy.servers import Server
+from rainhitch.protocol.resp import command
 
 KINDS = (Client, Slot, Held, Attempt, Call, Exchange, Connection, Pool, Job, Server, asyncio.Task)
 
@@ -135,3 +136,34 @@
     assert await asyncio.wait_for(running.wait(), PATIENCE) == 0
     assert (await drain).count(b"\n") < 40
     await cache.stop()
+
+
+async def test_a_burst_of_newcomers_leaves_descriptors_to_answer_each_of_them(tmp_path: Path) -> None:
+    """Beyond its last descriptor a listener accepts and closes without a word: the requests are lost."""
+
+    def few() -> None:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (64, 64))
+
+    env = configuration(tmp_path, limits={"sockets": 64})
+    running = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "rainhitch", env=env, cwd=ROOT, stderr=asyncio.subprocess.PIPE, preexec_fn=few
+    )
+    address = await started(running)
+    assert running.stderr is not None
+    drain = asyncio.create_task(running.stderr.read())
+    kept = [await asyncio.open_connection(*address) for _ in range(32)]
+    for reader, writer in kept:
+        writer.write(command(b"PING"))
+        assert (await asyncio.wait_for(reader.readline(), PATIENCE)).startswith((b"+PONG", b"-LOADING"))
+    late = [socket.create_connection(address) for _ in range(150)]  # all at once, and slow to speak
+    for one in late:
+        one.settimeout(PATIENCE)
+    answers = [await asyncio.to_thread(one.recv, 64) for one in late]
+    assert set(answers) == {b"-ERR max number of clients reached\r\n"}
+    for one in late:
+        one.close()
+    for _, writer in kept:
+        writer.close()
+    running.send_signal(signal.SIGTERM)
+    assert await asyncio.wait_for(running.wait(), PATIENCE) == 0
+    await drain
