--- a/rainhitch/cli/rehearse.py
+++ b/rainhitch/cli/rehearse.py
@@ -84,7 +84,6 @@
 def _play(told: argparse.Namespace) -> int:
     from rainhitch.rehearsal import play, scenario
     from rainhitch.rehearsal.routers import StageError, command_of
-    from rainhitch.rehearsal.stage import check_descriptors, check_ports
 
     path = scenario.find(told.target[0])
     changes = {} if told.routers is None else {"fleet.routers": told.routers}
@@ -96,8 +95,6 @@
         words = play.our_router()
         if told.router is not None:
             words = play.plain_router() if told.router == "plain" else command_of(told.router)
-        check_descriptors(day)
-        check_ports(day)
         return _interruptible(_repeat(told, day, path.stem, words))
     except StageError as problem:
         return _bad(str(problem))
--- a/rainhitch/rehearsal/faults.py
+++ b/rainhitch/rehearsal/faults.py
@@ -29,7 +29,6 @@
     "surge": ("router", "for_s", "share"),
     "reconnect-storm": ("for_s", "clients"),
 }
-PLACES = ("room", "node", "router")
 
 
 @dataclass(slots=True)
--- a/rainhitch/rehearsal/stage.py
+++ b/rainhitch/rehearsal/stage.py
@@ -117,7 +117,6 @@
         self.routers: list[Router] = []
         self.acting: set[asyncio.Task[None]] = set()
         self.zero = 0
-        self.failed: StageError | None = None
 
     async def play(self) -> Json:
         """Plays the day; gives all its ledgers."""
--- a/rainhitch/rehearsal/world/clients.py
+++ b/rainhitch/rehearsal/world/clients.py
@@ -151,7 +151,7 @@
         self.idle: dict[int, list[Line]] = {}  # by router of a surge, -1 for the front's
         self.sent: list[Sent] = []
         self.extras: list[Json] = []
-        self.opened = self.behind = 0
+        self.opened = 0
         self.tasks: set[asyncio.Task[None]] = set()
         self.value = b"v" * scenario["traffic"]["value_bytes"]
         self.kept = scenario["clients"]["connections"] == "kept"
--- a/rainhitch/rehearsal/world/link.py
+++ b/rainhitch/rehearsal/world/link.py
@@ -172,7 +172,6 @@
         self.inbound: list[tuple[bytes, int]] = []  # held by a cut
         self.outbound: list[bytes] = []
         self.closed_at = 0  # monotonic ns at which the router closed, whether or not that came through
-        self.opened_at = 0
 
     def arrived(self, data: bytes, at: int) -> None:
         """Data came through; `at` is when the router sent it, monotonic ns."""
@@ -183,7 +182,6 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
-        self.opened_at = time.monotonic_ns()
         self.link.wires.add(self)
         if not self.link.up:
             self.reset()
