Damp storms of retries and reconnects, and guard order keys at one router

Change: storms/ holds decisions without I/O (detector, AIMD limit on attempts at cache servers with lanes and floors, appointments in -BUSY MS, retry budget, order keys, pace of accepts) behind one Damper, which the decision module asks. A retry of an order waits for its first attempt and inherits what may have run.

--- a/rainhitch/interface.py
+++ b/rainhitch/interface.py
@@ -5,7 +5,8 @@
 """
 
 from dataclasses import dataclass, field
-from enum import StrEnum
+from enum import Enum, StrEnum
+from typing import Protocol
 
 
 class Effect(StrEnum):
@@ -121,6 +122,7 @@
     write: bool = False
     tenant: int = 0
     repeat: bool = False
+    order: str = ""  # the order key of a keyed write
 
 
 @dataclass(slots=True)
@@ -238,3 +240,45 @@
 
 
 Action = Send | Refuse | Fail | Wake | Watch | Log
+
+
+class Verdict(Enum):
+    """What is to become of a request that has just come."""
+
+    ADMIT = "admit"
+    WAIT = "wait"  # an earlier request for the same order is not over
+    REFUSE = "refuse"
+
+
+class Damper(Protocol):
+    """What the decisions ask and tell about storms, and about requests that share an order key. Times are
+    ns."""
+
+    period: int
+
+    def arrived(self, now: int, request: Request, marked: bool) -> Verdict:
+        """What to do with a request that has come; marked: beyond its customer's share."""
+
+    def inherited(self, request: Request) -> list[tuple[int, Member]]:
+        """When and where other requests' attempts at this request's order may have run."""
+
+    def may_send(self, now: int, again: bool) -> bool:
+        """Whether an attempt may go; again: an earlier one failed. Counts it if it may."""
+
+    def sent(self, now: int, id: str, number: int, member: Member, window: int) -> None:
+        """An attempt is out; window is for how long its repeats are dropped there."""
+
+    def outcome(self, now: int, event: Outcome) -> str:
+        """An attempt has ended; gives the request whose turn at its order it is now, "" for none."""
+
+    def ended(self, now: int, id: str, served: bool, refused: bool) -> str:
+        """A request is over here; gives the request whose turn at its order it is now, "" for none."""
+
+    def come_back(self, now: int, request: Request) -> int:
+        """After how long a refused request should come again; 0 where that may not be told."""
+
+    def late(self, late: int) -> None:
+        """An alarm came so much late."""
+
+    def step(self, now: int) -> str:
+        """Once a period; gives a line to log, or ""."""
--- a/rainhitch/node/call.py
+++ b/rainhitch/node/call.py
@@ -31,6 +31,7 @@
     tenant: int
     wait: int  # ms until the client gives up, from when it sent the command
     repeat: bool
+    order: str = ""  # the order key of a keyed write
 
     @property
     def size(self) -> int:
@@ -88,7 +89,8 @@
         raise CallError("invalid d")
     if fields.get("r", "1") not in ("0", "1"):
         raise CallError("invalid r")
-    return Call(name, key, identity, info, value, cls, tenant, int(wait), fields.get("r") == "1")
+    order = fields["k"] if effect is Effect.KEYED else ""
+    return Call(name, key, identity, info, value, cls, tenant, int(wait), fields.get("r") == "1", order)
 
 
 def _fields(info: bytes) -> dict[str, str]:
--- a/rainhitch/node/driver.py
+++ b/rainhitch/node/driver.py
@@ -77,7 +77,9 @@
         held.guard = self.loop.call_at((until - WAY_BACK // 2) / SECOND, self._overdue, held)
         key = call.key.decode("latin-1")
         write = call.value is not None
-        self._tell(api.Request(name, call.cls, held.deadline, key, write, call.tenant, call.repeat))
+        self._tell(
+            api.Request(name, call.cls, held.deadline, key, write, call.tenant, call.repeat, call.order)
+        )
         return held
 
     def withdraw(self, held: Held) -> None:
--- a/rainhitch/node/service.py
+++ b/rainhitch/node/service.py
@@ -27,6 +27,7 @@
     read_names,
     read_settings,
 )
+from rainhitch.storms.damper import Damper
 
 if TYPE_CHECKING:
     from rainhitch.operator import Operator
@@ -131,9 +132,12 @@
     # What is left beside the program itself: a quarter for what clients sent, one for what they have not
     # yet sent or read, and half for what servers are sending and what the memory's bookkeeping wastes.
     quarter = max(1 << 20, (told.memory - PROGRAM) // 4)
-    driver = Driver(Balancer(told.settings, told.seed), pools, told.ceilings.most_held, quarter)
-    clients = Clients(driver, told.names, told.sockets // 2, quarter)
+    damper = Damper(told.settings, told.seed, None if operator is None else operator.storms.options())
+    balancer = Balancer(told.settings, told.seed, damper)
+    driver = Driver(balancer, pools, told.ceilings.most_held, quarter)
+    clients = Clients(driver, told.names, told.sockets // 2, quarter, damper)
     if operator is not None:
+        clients.at_need_s = operator.clients.at_need_s
         clients.idle_s, clients.unfinished_s = operator.clients.idle_s, operator.clients.unfinished_s
         clients.unread_s = operator.clients.unread_s
         pools.hold_idle(operator.servers.idle_s)
--- a/rainhitch/operator.py
+++ b/rainhitch/operator.py
@@ -4,10 +4,12 @@
 exists. A subsystem adds its table here. Where there is no file this module is not even imported.
 """
 
+import dataclasses
 from dataclasses import dataclass
 from pathlib import Path
 
 from rainhitch import tables
+from rainhitch.storms.damper import Options
 
 
 @dataclass(slots=True)
@@ -17,6 +19,9 @@
     idle_s: float = tables.number(
         2.0, 0.5, 3600, "a connection with no request open is left alone so long, however many there are"
     )
+    at_need_s: float = tables.number(
+        0.025, 0.01, 3600, "the same when a newcomer finds little room; idle_s at most"
+    )
     unfinished_s: float = tables.number(2.6, 0.1, 60, "a command may be on its way for so long")
     unread_s: float = tables.number(10.0, 0.5, 600, "a client may leave answers unread for so long")
 
@@ -33,12 +38,34 @@
     )
 
 
+@dataclass(slots=True)
+class Storms:
+    """[storms]; the defaults stand in storms/damper.py."""
+
+    damping: bool = tables.flag(Options.damping, "false: storms are seen and logged, nothing more")
+    retry_share: float = tables.number(
+        Options.retry_share, 0, 5, "further attempts of the router's own for each first try"
+    )
+    retries_least: float = tables.number(Options.retries_least, 0, 10000, "of them a second, always allowed")
+    least_in_work: int = tables.whole(Options.least_in_work, 1, 20000, "requests that are always taken")
+    floor: float = tables.number(
+        Options.floor, 0, 0.5, "part of the limit that first tries and retries each keep"
+    )
+    accepts_least: float = tables.number(Options.accepts_least, 1, 1e5, "connections a second, at least")
+    accepts_most: float = tables.number(Options.accepts_most, 1, 1e6, "connections a second, at most")
+    orders: int = tables.whole(Options.orders, 16, 1 << 20, "order keys remembered at once")
+
+    def options(self) -> Options:
+        return Options(**dataclasses.asdict(self))
+
+
 @dataclass(slots=True)
 class Operator:
     """All of the file."""
 
     clients: ClientLimits = tables.table(ClientLimits, "what clients' connections are held to")
     servers: ServerLimits = tables.table(ServerLimits, "what connections to servers are held to")
+    storms: Storms = tables.table(Storms, "storms of retries and reconnects")
 
 
 def read_operator(path: Path) -> Operator:
--- a/rainhitch/policy/balancer.py
+++ b/rainhitch/policy/balancer.py
@@ -21,8 +21,8 @@
 class Balancer:
     """The host of the parts: what a request goes through, from its arrival to its one final answer."""
 
-    def __init__(self, settings: api.Settings, seed: int) -> None:
-        self.settings = settings
+    def __init__(self, settings: api.Settings, seed: int, damper: api.Damper | None = None) -> None:
+        self.settings, self.damper = settings, damper
         self.turn = Turn(settings, seed)
         self.jobs: dict[str, Job] = {}
         self.fleet = Fleet(self.turn)
@@ -43,11 +43,15 @@
         turn.now, turn.actions = now, []
         if self.gate.monitor.born < 0:
             self.gate.start()
+            if self.damper is not None:
+                turn.later(self.damper.period, self._watch_storms)
         handler = self.handlers.get(type(event))
         if handler is not None:
             handler(event)
         elif type(event) is api.Alarm and event.token == str(turn.wake_at):
             # Guards against coarse timers: known by its token, since it may come a little before its time.
+            if self.damper is not None:
+                self.damper.late(max(0, now - turn.wake_at))
             turn.wake_at = 0
         turn.run_agenda()
         return turn.actions
@@ -58,11 +62,48 @@
             self.placement.ranges.deal(self.turn.now, ready)
 
     def _on_request(self, event: api.Request) -> None:
-        spec = self.settings.classes[event.cls]
-        job = self.jobs[event.id] = Job(event, spec, min(event.deadline, self.turn.now + spec.aim))
+        spec, now = self.settings.classes[event.cls], self.turn.now
+        job = self.jobs[event.id] = Job(event, spec, min(event.deadline, now + spec.aim))
         job.marked = self.shares.exceeds(event)
         job.skip = self.placement.arrived(event)
-        if event.write and self.settings.aside:
+        verdict = api.Verdict.ADMIT if self.damper is None else self.damper.arrived(now, event, job.marked)
+        self._inherit(job)
+        if verdict is api.Verdict.REFUSE:
+            self._give_up(job)
+        elif verdict is api.Verdict.WAIT:
+            job.waits = True
+            self.turn.later(event.deadline - now, self._give_up, job)
+        else:
+            self._begin(job)
+
+    def _watch_storms(self, _: Job | None) -> None:
+        assert self.damper is not None
+        line = self.damper.step(self.turn.now)
+        if line:
+            self.turn.actions.append(api.Log(line))
+        self.turn.later(self.damper.period, self._watch_storms)
+
+    def _inherit(self, job: Job) -> None:
+        """Guards an order against a second execution: what earlier requests for it may have run counts as if
+        it were this one's own."""
+        if job.request.order and self.damper is not None:
+            job.live = {number: ran for number, ran in job.live.items() if number >= 0}
+            for number, (at, member) in enumerate(self.damper.inherited(job.request), 1):
+                job.live[-number] = (member, at)
+
+    def _next_in_line(self, name: str) -> None:
+        """Guards an order against two attempts at once: its next request begins when the last one is over."""
+        job = self.jobs.get(name)
+        if job is not None and job.waits:
+            self._inherit(job)
+            job.waits = False
+            self._begin(job)
+
+    def _begin(self, job: Job) -> None:
+        event = job.request
+        if job.live and not job.may_refuse(self.turn.now):
+            self._give_up(job)  # what may have run is no longer remembered anywhere
+        elif event.write and self.settings.aside:
             job.at_origin = True
             self._proceed(job)
         elif event.key is not None and self.memory.likely_miss(event.key, self.turn.now):
@@ -98,13 +139,13 @@
                 self.gate.spend(job)
 
     def _proceed(self, job: Job | None) -> None:
-        if job is None or job.request.id not in self.jobs or job.out:
+        if job is None or job.request.id not in self.jobs or job.out or job.waits:
             return  # ended meanwhile; and never are two attempts out
         server = self.fleet.origin if job.at_origin else self.placement.choose(job)
         # Guards against work that keeps a jammed origin jammed: the rule for swamped servers holds here too.
         limit, routers = job.spec.aim * SLOW, self.settings.balancers
         jammed = job.at_origin and server and not server.calm(self.turn.now, limit, NO_CROWD, routers)
-        if server is None or jammed or not self._may_send(job, server):
+        if server is None or jammed or not self._may_send(job, server) or not self._affords(job):
             self._give_up(job)
         else:
             self._send(job, server)
@@ -124,8 +165,10 @@
                 timeout = min(timeout, max(job.spec.aim // 4, int(PATIENCE * server.predict())))
         server.out += 1
         server.sent_at = self.turn.now
-        job.live[job.made] = (server, self.turn.now)
+        job.live[job.made] = (server.member, self.turn.now)
         job.out.add(job.made)
+        if self.damper is not None:
+            self.damper.sent(self.turn.now, job.request.id, job.made, server.member, job.spec.window)
         job.made += 1
         job.tried.add(server.member.server)
         if read or (job.likely_miss and not self.settings.aside):
@@ -143,21 +186,34 @@
             return False
         return job.may_repeat(server.member, self.turn.now)
 
+    def _affords(self, job: Job) -> bool:
+        """Whether the budget for retries allows this attempt, and counts it."""
+        if self.damper is None or (job.made and not job.failed):
+            return True
+        return self.damper.may_send(self.turn.now, job.failed > 0)
+
     def _give_up(self, job: Job | None) -> None:
         """The final answer of this router: a refusal where that is true, else a failure."""
         if job is None or job.out or self.jobs.get(job.request.id) is not job:
             return
         name, settings = job.request.id, self.settings
-        if job.may_refuse(self.turn.now):
+        if job.waits:
+            self._inherit(job)
+        refused = job.may_refuse(self.turn.now)
+        if refused:
             later = min(self.turn.shortest_aim, settings.max_retry_after) if settings.retry_after else 0
+            if self.damper is not None:
+                later = self.damper.come_back(self.turn.now, job.request)
             self.turn.actions.append(api.Refuse(name, later))
         else:
             self.turn.actions.append(api.Fail(name))
-        self._end(job)
+        self._end(job, refused=refused)
 
-    def _end(self, job: Job) -> None:
+    def _end(self, job: Job, served: bool = False, refused: bool = False) -> None:
         self.jobs.pop(job.request.id, None)
         self.gate.leave(job)
+        if self.damper is not None:
+            self._next_in_line(self.damper.ended(self.turn.now, job.request.id, served, refused))
 
     def _on_withdrawn(self, event: api.Withdrawn) -> None:
         job = self.jobs.get(event.id)
@@ -170,14 +226,17 @@
         job = self.jobs.get(event.id)
         self.fleet.observe(event)
         self.gate.ended((event.id, event.attempt), event.status is api.Status.OK)
+        if self.damper is not None:
+            self._next_in_line(self.damper.outcome(self.turn.now, event))
         if job is None:
             return
         job.out.discard(event.attempt)
+        job.failed += event.status not in (api.Status.MISS, api.Status.MOOT)
         (self._closed if event.closed else self._unanswered)(job, event)
 
     def _closed(self, job: Job, event: api.Outcome) -> None:
-        self._end(job)
         key, answered = job.request.key, event.status is api.Status.OK
+        self._end(job, served=answered)
         if key is None or job.request.write:
             return
         if job.at_origin:
--- a/rainhitch/policy/jobs.py
+++ b/rainhitch/policy/jobs.py
@@ -1,13 +1,9 @@
 """A request that is held, and what rules 1 and 2 allow for it by what its attempts have proved."""
 
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
 
 from rainhitch import interface as api
 
-if TYPE_CHECKING:
-    from rainhitch.policy.servers import Server
-
 NEVER_RAN = frozenset((api.Status.FULL, api.Status.CONNECT_FAILED, api.Status.MOOT, api.Status.MISS))
 
 
@@ -22,8 +18,11 @@
     likely_miss: bool = False  # its key was not lately seen hit; in through mode, not lately sent
     skip: int = 0  # owners of a hot key's ranges that this request passes by
     at_origin: bool = False  # a write, or a read that missed
+    waits: bool = False  # for the end of an earlier request for its order
     made: int = 0  # attempts so far
-    live: dict[int, "tuple[Server, int]"] = field(default_factory=dict)  # may have run: where, when sent
+    failed: int = 0  # of these, but for misses
+    # May have run: where, when sent. Those of earlier requests for the same order have negative numbers.
+    live: dict[int, tuple[api.Member, int]] = field(default_factory=dict)
     out: set[int] = field(default_factory=set)
     tried: set[str] = field(default_factory=set)
 
@@ -34,7 +33,7 @@
         if self.spec.effect is api.Effect.UNSAFE or not self.in_window(now):
             return False
         group = self.spec.group
-        ran = [at.member for at, _ in self.live.values()]
+        ran = [at for at, _ in self.live.values()]
         same = [one.zone == to.zone if group == "zone" else one.cell == to.cell for one in ran]
         return group == "all" or all(same)
 
--- a/rainhitch/rehearsal/scenario.py
+++ b/rainhitch/rehearsal/scenario.py
@@ -130,6 +130,8 @@
     backoff_ms: tuple[float, float] = tables.pair((30, 240), 0, 60000, "before a further try")
     honour: float = tables.number(0.9, 0, 1, "part of the clients that heed `-BUSY MS`")
     give_up: tuple[float, float] = tables.pair((0.7, 1.0), 0.01, 1, "part of the deadline that a try waits")
+    told: bool = tables.flag(False, "routers may say after how long to come back")
+    most_wait_ms: float = tables.number(2000.0, 1, 60000, "the longest that they may say")
     impatient: float = tables.number(0.0, 0, 1, "part of the tries that leave early")
     connections: str = tables.text(
         "reused", "or a new one for each request, the old kept", ("reused", "kept")
--- /dev/null
+++ b/rainhitch/storms/damper.py
@@ -0,0 +1,206 @@
+"""The one face of this package: what the decisions and the clients' side ask and tell, times in ns.
+
+It sees arrivals, connects, retries marked and unmarked, outcomes, and the router's lateness; it says admit,
+wait, refuse, when to come back, and whether one more attempt of the router's own may go. The decision module
+(`policy/`) still chooses the server and gives each answer.
+"""
+
+from dataclasses import dataclass
+
+from rainhitch import interface as api
+from rainhitch.storms.accepts import Pace
+from rainhitch.storms.appointments import Appointments, Return, question
+from rainhitch.storms.budget import RetryBudget
+from rainhitch.storms.detector import PERIOD, Detector
+from rainhitch.storms.limit import Lane, Limit
+from rainhitch.storms.orders import Entry, Orders
+
+SECOND = 1_000_000_000
+HURRIED = 0.4  # part of its aim below which a request's time left counts as hurried
+SMOOTHING = 1 / 8
+IN_TIME = 0.5  # part of its aim within which an answer counts as in time for the limit
+FADES = 0.99  # a period, of the most that was served a second: halved in 17 s
+
+
+@dataclass
+class Options:
+    """What an operator may set; see docs/operate/storms.md."""
+
+    damping: bool = True  # false: storms are seen and told in the log, and nothing is done about them
+    retry_share: float = 0.2  # retries of the router's own for each first try
+    retries_least: float = 10.0  # a second
+    least_in_work: int = 32  # requests that are always admitted at once
+    floor: float = 0.2  # part of the limit that first tries and retries each keep
+    accepts_least: float = 100.0  # connections a second
+    accepts_most: float = 4000.0
+    orders: int = 4096
+
+
+@dataclass(slots=True)
+class Entered:
+    """A request that was taken into work."""
+
+    at: int
+    aim: int
+    retry: bool
+    marked: bool  # beyond its customer's share
+
+
+class Damper:
+    """The storms of one router."""
+
+    period = PERIOD  # ns at which `step` is wanted
+
+    def __init__(self, settings: api.Settings, seed: int, options: Options | None = None) -> None:
+        self.settings, self.options = settings, options or Options()
+        told = self.options
+        patience = max(spec.deadline for spec in settings.classes)
+        most_wait = settings.max_retry_after if settings.retry_after else 0
+        self.orders = Orders(patience, told.orders)
+        self.budget = RetryBudget(told.retry_share, told.retries_least)
+        self.limit = Limit(min(spec.aim for spec in settings.classes) // 8, told.least_in_work, told.floor)
+        self.appointments = Appointments(most_wait, seed)
+        self.detector = Detector()
+        self.pace = Pace(told.accepts_least, told.accepts_most)
+        self.origin_kind = settings.origin_kind if settings.aside else -1
+        self.entered: dict[str, Entered] = {}
+        self.out: dict[tuple[str, int], Entered] = {}  # attempts at cache servers, by id and number
+        self.best_rate = self.first_rate = 0.0  # answers a second at most, and first tries a second, lately
+        self.took = 0.0  # ns that an answer takes, lately
+        self.refused_by: dict[str, int] = {"limit": 0, "too late": 0, "order": 0, "budget": 0}
+
+    @property
+    def storm(self) -> bool:
+        return self.detector.storm
+
+    @property
+    def binding(self) -> bool:
+        """Whether what is admitted is limited now."""
+        return self.options.damping and self.detector.storm
+
+    def connected(self, now: int, open_now: int) -> int:
+        """A connection was accepted; gives for how long no more should be, ns."""
+        self.detector.now_counts.connects += 1
+        self.detector.open = open_now
+        return self.pace.accepted(now) if self.options.damping else 0
+
+    def turned_away(self, now: int) -> int:
+        """A newcomer found no room; gives after how long to come back, 0 where that may not be told."""
+        self.detector.now_counts.turned_away += 1
+        return self.appointments.give(now, self._returns()) if self.options.damping else 0
+
+    def late(self, late: int) -> None:
+        """An alarm of the router came so much late, ns."""
+        self.detector.now_counts.late = max(self.detector.now_counts.late, late)
+        self.pace.noted(late)
+
+    def arrived(self, now: int, request: api.Request, marked: bool) -> api.Verdict:
+        """What to do with a request that has come; `marked`: beyond its customer's share."""
+        spec, seen = self.settings.classes[request.cls], self.detector.now_counts
+        known = bool(request.order) and self.orders.known(now, request.order)
+        back = self.appointments.arrived(now, question(request), request.repeat)
+        retry = request.repeat or known or back is not Return.NEW
+        left = request.deadline - now
+        seen.arrivals += 1
+        seen.retries += retry
+        seen.hurried += left < spec.aim * HURRIED
+        verdict = api.Verdict.ADMIT
+        if self.binding:
+            if left < self.took / 2:
+                self.refused_by["too late"] += 1
+                verdict = api.Verdict.REFUSE
+            elif not self.limit.admits(now, self._lane(request, marked, back), retry):
+                self.refused_by["limit"] += 1
+                verdict = api.Verdict.REFUSE
+        if verdict is api.Verdict.ADMIT and request.order:
+            entry = self.orders.enter(now, request.order, request.id)
+            if entry is Entry.FULL:
+                self.refused_by["order"] += 1
+                verdict = api.Verdict.REFUSE
+            elif entry is Entry.WAITS:
+                verdict = api.Verdict.WAIT
+        self.entered[request.id] = Entered(now, spec.aim, retry, marked)
+        return verdict
+
+    @staticmethod
+    def _lane(request: api.Request, marked: bool, back: Return) -> Lane:
+        if request.write and not marked:
+            return Lane.ORDER
+        if marked or back is Return.EARLY:
+            return Lane.SHED
+        return Lane.KEPT if back is Return.KEPT else Lane.READ
+
+    def inherited(self, request: api.Request) -> list[tuple[int, api.Member]]:
+        """When and where other requests' attempts at this request's order may have run."""
+        return self.orders.inherited(request.order, request.id)
+
+    def may_send(self, now: int, again: bool) -> bool:
+        """Whether an attempt may go; `again`: an earlier one failed. Counts it if it may."""
+        if not again:
+            self.budget.first(now)
+            return True
+        if not self.options.damping or self.budget.spend(now):
+            return True
+        self.refused_by["budget"] += 1
+        return False
+
+    def sent(self, now: int, id: str, number: int, member: api.Member, window: int) -> None:
+        """An attempt is out; `window` is for how long its repeats are dropped there, ns."""
+        self.orders.sent(now, id, number, member, window)
+        entered = self.entered.get(id)
+        if entered is not None and member.kind != self.origin_kind:
+            # Guards hits against a slow origin: what waits there takes no place, and is the throttle's to
+            # limit.
+            self.out[id, number] = entered
+            self.limit.began(entered.retry)
+
+    def outcome(self, now: int, event: api.Outcome) -> str:
+        """An attempt has ended; gives the request whose turn at its order it is now, "" for none."""
+        entered = self.out.pop((event.id, event.attempt), None)
+        if entered is not None:
+            self.limit.ended(entered.retry)
+            if event.status in (api.Status.OK, api.Status.MISS):
+                self.limit.note(event.elapsed <= entered.aim * IN_TIME, now - event.elapsed)
+            elif event.status in (api.Status.TIMEOUT, api.Status.FULL):
+                self.limit.note(False, now - event.elapsed)
+        return self.orders.outcome(event.id, event.attempt, event.status)
+
+    def ended(self, now: int, id: str, served: bool, refused: bool) -> str:
+        """A request has its final answer, or its client has left; gives whose turn at its order it is now."""
+        entered = self.entered.pop(id, None)
+        if entered is not None:
+            self.detector.now_counts.served += served
+            self.detector.now_counts.refused += refused
+            if served:
+                self.took += (now - entered.at - self.took) * SMOOTHING
+        return self.orders.ended(id)
+
+    def come_back(self, now: int, request: api.Request) -> int:
+        """After how long a request that is refused now should come again, ns; 0 where that may not be
+        told."""
+        # A time within its aim where it has one left: who comes back later earns little by it.
+        entered, aim = self.entered.get(request.id), self.settings.classes[request.cls].aim
+        worth = entered is not None and not entered.marked and not entered.retry
+        left = (min(now + aim, request.deadline) if worth else request.deadline) - now - int(self.took)
+        return self.appointments.give(now, self._returns(), question(request), left)
+
+    def _returns(self) -> float:
+        """Returns a second that can be served: what first tries leave, and the floor for retries at least."""
+        spare = self.best_rate - self.first_rate
+        return max(1.0, spare, self.best_rate * self.options.floor)
+
+    def step(self, now: int) -> str:
+        """Once a period; gives a line for the operators, or "" for none."""
+        detector = self.detector
+        span, seen = now - detector.stepped, detector.now_counts
+        line = detector.step(now)
+        if detector.now_counts is not seen:
+            served, firsts = seen.served * SECOND / span, (seen.arrivals - seen.retries) * SECOND / span
+            self.best_rate = max(served, self.best_rate * FADES)
+            self.first_rate += (firsts - self.first_rate) * SMOOTHING
+        self.limit.step(now, self.binding)
+        if line and not detector.storm:
+            why = ", ".join(f"{count} by {name}" for name, count in self.refused_by.items() if count)
+            line += f"; limit {self.limit.limit:.0f}; not taken: {why or 'none'}"
+            self.refused_by = dict.fromkeys(self.refused_by, 0)
+        return line
--- a/rainhitch/tables.py
+++ b/rainhitch/tables.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import string
 import tomllib
 from collections.abc import Callable, Mapping
 from pathlib import Path
@@ -14,6 +15,7 @@
 T = TypeVar("T")
 Read = Callable[[object], Any]  # gives the value, or raises ValueError
 REQUIRED: Any = dataclasses.MISSING
+BARE = frozenset(string.ascii_letters + string.digits + "_-")  # of a key that needs no quotes
 
 
 class TableError(ValueError):
@@ -126,7 +128,7 @@
     for key, value in source.items():
         name = key.replace("-", "_")
         field = known.get(name)
-        path = f"{at}{key}"
+        path = f"{at}{_shown(key) if set(key) - BARE else key}"
         if field is None or name != key:
             problems.append(f"{where}: {path} = {_shown(value)}: no such key; allowed: {', '.join(known)}")
             continue
--- a/rainhitch/wirehost.py
+++ b/rainhitch/wirehost.py
@@ -10,6 +10,7 @@
 from rainhitch import interface as io
 from rainhitch.policy.balancer import Balancer
 from rainhitch.settings import Json, SettingError, read_settings
+from rainhitch.storms.damper import Damper
 
 STATUS = {
     "completed": io.Status.OK,
@@ -162,7 +163,8 @@
         if name == "UP":
             seed, info = message["nonce64"], message["info"]
             try:
-                self.routers[i] = Balancer(read_settings(info), seed)
+                settings = read_settings(info)
+                self.routers[i] = Balancer(settings, seed, Damper(settings, seed))
             except SettingError as error:
                 self.routers.pop(i, None)
                 print(f"instance {i}: {error}", file=sys.stderr)
