--- a/rainhitch/cli/__init__.py
+++ b/rainhitch/cli/__init__.py
@@ -7,7 +7,13 @@
 from rainhitch import __version__
 
 # name: the module that holds `fill(parser)` and `run(arguments) -> exit code`, and what it is for
-COMMANDS = {"rehearse": ("rainhitch.cli.rehearse", "play a day with real routers in a world of stand-ins")}
+COMMANDS = {
+    "rehearse": ("rainhitch.cli.rehearse", "play a day with real routers in a world of stand-ins"),
+    "members": (
+        "rainhitch.cli.members",
+        "the list of servers in etcd: show it, watch it, drain, restore, put",
+    ),
+}
 
 
 def run(words: Sequence[str]) -> int:
--- /dev/null
+++ b/rainhitch/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Where the list of servers comes from when it is not the platform's discovery: etcd's watch."""
--- a/rainhitch/node/service.py
+++ b/rainhitch/node/service.py
@@ -30,7 +30,8 @@
 from rainhitch.storms.damper import Damper
 
 if TYPE_CHECKING:
-    from rainhitch.operator import Operator
+    from rainhitch.membership.etcd import Source
+    from rainhitch.operator import Membership, Operator
 
 STILL_ACCEPTING = 0.5  # s after SIGTERM in which clients are still sent here
 ALL_ANSWERED = 2.2  # s after SIGTERM by which all has its answer
@@ -96,7 +97,7 @@
         raise ConfigurationError(f"{path}: {problem}") from None
 
 
-def reread(path: str | None, watch: Watch) -> None:
+def reread(path: str | None, watch: Watch | None) -> None:
     """Takes up a new configuration: the watch moves to its discovery, all else runs on as it is. Guards
     against a file that is bad or half written: the router keeps to what it has."""
     try:
@@ -104,6 +105,9 @@
     except ConfigurationError as problem:
         log.warning("the new configuration is of no use: %s", problem)
         return
+    if watch is None:
+        log.info("configuration read anew; etcd leads, so that its discovery is not asked")
+        return
     log.info("configuration read anew, discovery at %s:%d", *endpoint)
     watch.move(endpoint)
 
@@ -149,8 +153,13 @@
     origin_kind = told.settings.origin_kind if told.settings.aside else -1
     directory = Directory(told.names, origin_kind, pools, driver.members)
     watch = Watch(told.discovery, directory, told.seed, told.settings.must_ask)
-    driver.watch = watch.start
-    loop.add_signal_handler(signal.SIGHUP, reread, path, watch)
+    etcd = None
+    if operator is not None and operator.membership.source == "etcd":
+        etcd = etcd_source(operator.membership, directory, told)
+        driver.watch = etcd.start
+    else:
+        driver.watch = watch.start
+    loop.add_signal_handler(signal.SIGHUP, reread, path, watch if etcd is None else None)
     signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
     clients.can_serve = lambda: directory.can_serve
     try:
@@ -162,7 +171,9 @@
     except OSError as problem:
         raise ConfigurationError(f"can't listen on {told.listen[0]}:{told.listen[1]}: {problem}") from None
     log.info("listening on %s:%d", host, port)
-    if not told.settings.must_ask:
+    if etcd is not None:
+        etcd.start()
+    elif not told.settings.must_ask:
         watch.start()
     await stopping.wait()
     log.info("told to stop")
@@ -172,6 +183,25 @@
     clients.close()
     await clients.emptied(begun + GONE_BY - loop.time())
     watch.stop()
+    if etcd is not None:
+        etcd.stop()
+
+
+def etcd_source(table: "Membership", directory: Directory, told: Configuration) -> "Source":
+    """The source that leads in place of discovery; imported only here, where it is on."""
+    from rainhitch.membership.choice import MembershipError, etcd_options
+    from rainhitch.membership.roster import Roster
+
+    try:
+        options = etcd_options(table)
+    except MembershipError as problem:
+        raise ConfigurationError(str(problem)) from None
+    from rainhitch.membership.etcd import Source
+
+    roster = Roster(directory.take, lambda: directory.rev)
+    rows = told.known.get("targets") if isinstance(told.known, dict) else None
+    known = [str(one.get("uid")) for one in rows or () if isinstance(one, dict)]
+    return Source(options, roster.publish, told.seed, known)
 
 
 def main() -> int:
--- a/rainhitch/operator.py
+++ b/rainhitch/operator.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 
 from rainhitch import tables
+from rainhitch.membership.choice import check
 from rainhitch.storms.damper import Options
 
 
@@ -59,6 +60,21 @@
         return Options(**dataclasses.asdict(self))
 
 
+@dataclass(slots=True)
+class Membership:
+    """[membership]"""
+
+    source: str = tables.text("discovery", "who leads: the other is not asked", ("discovery", "etcd"))
+    endpoints: list[str] = tables.texts(["127.0.0.1:2379"], "etcd's, tried in turn: host:port")
+    prefix: str = tables.text("/rainhitch/members/", "of the keys; the uid follows")
+    ca: str = tables.text("", "file of the authority that etcd's certificates are checked by; empty: no TLS")
+    certificate: str = tables.text("", "file of the router's own certificate")
+    key: str = tables.text("", "file of its key")
+    user: str = tables.text("", "etcd's user")
+    password_file: str = tables.text("", "file that holds its password")
+    timeout_s: float = tables.number(2.0, 0.1, 60, "for an answer that need not wait")
+
+
 @dataclass(slots=True)
 class Operator:
     """All of the file."""
@@ -66,12 +82,15 @@
     clients: ClientLimits = tables.table(ClientLimits, "what clients' connections are held to")
     servers: ServerLimits = tables.table(ServerLimits, "what connections to servers are held to")
     storms: Storms = tables.table(Storms, "storms of retries and reconnects")
+    membership: Membership = tables.table(Membership, "where the list of servers comes from")
 
 
 def read_operator(path: Path) -> Operator:
     """The operator's settings; raises TableError with one line for each bad key."""
     problems: list[str] = []
     told = tables.read(Operator, tables.load(path), str(path), problems)
-    if told is None:
+    if told is not None:
+        problems += [f"{path}: {line}" for line in check(told.membership)]
+    if told is None or problems:
         raise tables.TableError(problems)
     return told
--- a/rainhitch/policy/servers.py
+++ b/rainhitch/policy/servers.py
@@ -20,6 +20,8 @@
     out: int = 0
     sent_at: int = 0
     proved_at: int = 0  # when the latest attempt was sent that it has answered
+    answered_at: int = -SECOND  # when it last answered
+    broken: bool = False  # the latest attempt's connection failed or broke
     fails: int = 0  # connections failed or broken in a row
     down_since: int = 0
     down_until: int = 0
@@ -152,7 +154,11 @@
         if not server.linked and not server.fails and event.elapsed < self.turn.settings.connect_timeout:
             self.crowded += (failed - self.crowded) * SMOOTHING
         server.linked = not failed
-        if failed:
+        # Guards against one broken connection taken for a dead server: who answered just now is none,
+        # unless the next one breaks too.
+        recent = self.turn.now - server.answered_at < self.turn.settings.connect_timeout
+        slip, server.broken = failed and not server.broken and not server.fails and recent, failed
+        if failed and not slip:
             if not server.fails:
                 server.down_since = self.turn.now
                 self.turn.actions.append(api.Log(f"server {event.server} unreachable"))
@@ -171,7 +177,7 @@
         elapsed = self.turn.shortest_aim if full else event.elapsed  # a quick "full" proves no quick server
         answered, sent = status in (api.Status.OK, api.Status.MISS), self.turn.now - event.elapsed
         if answered:
-            server.proved_at = max(server.proved_at, sent)
+            server.proved_at, server.answered_at = max(server.proved_at, sent), self.turn.now
         # Guards against one connection that fell silent taken for a swamped server: who has answered what
         # was sent later is none. Nor does a time-out tell of an answer time below what was waited.
         lone = server.proved_at > sent or event.elapsed < server.latency
--- /dev/null
+++ b/tests/membership/test_following.py
@@ -0,0 +1,319 @@
+"""The membership machine: random histories against a plain model, and each hard case by itself."""
+
+from itertools import pairwise
+from random import Random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from support import MILLI, SECOND
+
+from rainhitch.membership import machine as m
+
+START = 1000 * SECOND
+
+
+class Follower:
+    """A machine with its clock; what it told, and what it wants."""
+
+    def __init__(self) -> None:
+        self.machine, self.now = m.Machine(Random(7)), START
+        self.view: dict[str, bytes] = {}
+        self.told: list[tuple[str, bytes | None]] = []
+        self.said: list[str] = []
+        self.wants: list[m.Action] = []
+        self.do(self.machine.start(self.now))
+
+    def do(self, actions: list[m.Action]) -> list[m.Action]:
+        for action in actions:
+            if isinstance(action, m.Publish):
+                if action.whole:
+                    self.view = {}
+                for uid, value in action.entries.items():
+                    if not action.whole or value is not None:
+                        self.told.append((uid, value))
+                    self.view.pop(uid, None)
+                    if value is not None:
+                        self.view[uid] = value
+            elif isinstance(action, m.Say):
+                self.said.append(action.text)
+            else:
+                self.wants.append(action)
+        return actions
+
+    def tell(self, event: m.Event) -> list[m.Action]:
+        return self.do(self.machine.handle(self.now, event))
+
+    def wait(self, span: int) -> None:
+        """Lets time pass, with every time that the machine wants on the way."""
+        end = self.now + span
+        while self.machine.wake_at <= end:
+            self.now = max(self.now + 1, self.machine.wake_at)
+            self.tell(m.Time())
+        self.now = end
+
+    def read(self, revision: int, entries: dict[str, tuple[int, bytes]], cluster: int = 1) -> None:
+        self.tell(m.Snapshot(cluster, revision, entries))
+
+    def settle(self) -> None:
+        self.wait(m.GATHER + MILLI)
+
+
+def fleet(count: int, revision: int = 5) -> dict[str, tuple[int, bytes]]:
+    return {f"n{n}": (revision, b"ready") for n in range(count)}
+
+
+def following(count: int = 6) -> Follower:
+    follower = Follower()
+    follower.read(10, fleet(count))
+    assert follower.wants == [m.Read(), m.WatchFrom(11)] and len(follower.view) == count
+    follower.told.clear()
+    follower.wants.clear()
+    return follower
+
+
+def test_a_change_is_told_at_once_and_the_next_ones_together() -> None:
+    follower = following()
+    follower.wait(SECOND // 2)
+    follower.tell(m.Changes(1, [("n0", 11, b"drains")]))
+    assert follower.told == [("n0", b"drains")]
+    for n in range(1, 6):
+        follower.tell(m.Changes(1, [(f"n{n}", 11 + n, b"drains")]))
+    assert len(follower.told) == 1
+    follower.settle()
+    assert len(follower.told) == 6
+
+
+def test_a_drain_once_seen_is_not_undone_by_a_member_that_lags() -> None:
+    """After a fail-over an older member said Ready again, and work went to a drained node."""
+    follower = following()
+    follower.wait(SECOND // 2)
+    follower.tell(m.Changes(1, [("n0", 12, b"drains")]))
+    follower.tell(m.Changes(1, [("n0", 11, b"ready")]))
+    follower.tell(m.Ended("reset"))
+    follower.machine.mode = m.Mode.READING
+    follower.read(11, fleet(6))
+    follower.settle()
+    assert follower.view["n0"] == b"drains" and follower.machine.revision == 12
+    assert sum("behind 12" in line for line in follower.said) == 1 and m.Leave() in follower.wants
+
+
+def test_after_a_compaction_each_difference_is_told_once_a_deletion_too() -> None:
+    follower = following()
+    assert m.Read() in follower.tell(m.Compacted())
+    now = fleet(6) | {"n1": (15, b"drains"), "n9": (16, b"ready")}
+    del now["n2"]
+    follower.read(20, now)
+    follower.settle()
+    assert sorted(follower.told, key=str) == [("n1", b"drains"), ("n2", None), ("n9", b"ready")]
+    assert follower.wants[-1] == m.WatchFrom(21)
+
+
+def test_a_broken_watch_goes_on_from_where_it_was() -> None:
+    follower = following()
+    follower.tell(m.Changes(1, [("n0", 14, b"drains")]))
+    follower.tell(m.Ended("reset"))
+    follower.wait(SECOND)
+    assert m.WatchFrom(15) in follower.wants and follower.view["n0"] == b"drains"
+
+
+def test_a_silent_watch_is_asked_and_then_given_up_within_the_stated_time() -> None:
+    """A half-open stream kept a drain from the router for TCP's minutes."""
+    follower = following()
+    follower.wait(m.PROGRESS + MILLI)
+    assert follower.wants == [m.AskProgress()]
+    follower.wait(m.SILENT - m.PROGRESS)
+    assert m.Leave() in follower.wants and "silent for 3 s" in follower.said[0]
+    answered = following()
+    for _ in range(20):
+        answered.wait(m.PROGRESS // 2)
+        answered.tell(m.Progress(1, 10))
+    assert m.Leave() not in answered.wants
+
+
+def test_drained_and_restored_in_one_batch_tells_no_drain_and_a_reborn_uid_its_last_address() -> None:
+    follower = following()
+    follower.wait(SECOND // 2)
+    follower.tell(m.Changes(1, [("n0", 11, b"drains"), ("n0", 12, b"ready")]))
+    follower.tell(m.Changes(1, [("n1", 13, None), ("n1", 14, b"elsewhere")]))
+    follower.settle()
+    assert follower.view["n0"] == b"ready" and follower.view["n1"] == b"elsewhere"
+    follower.tell(m.Changes(1, [("n1", 15, None)]))
+    follower.settle()
+    assert "n1" not in follower.view
+
+
+def test_a_read_that_drops_most_of_the_fleet_waits_for_a_second_look() -> None:
+    """A backup with half of the keys emptied the fleet."""
+    follower = following(10)
+    follower.tell(m.Compacted())
+    follower.read(20, fleet(2))
+    assert len(follower.view) == 10 and "drops 8 of 10" in follower.said[-1]
+    follower.wait(m.LOOK_AGAIN + MILLI)
+    assert follower.wants[-1] == m.Read()
+    follower.read(21, fleet(10))
+    follower.settle()
+    assert len(follower.view) == 10 and follower.told == []
+
+
+def test_what_the_first_look_dropped_is_told_before_the_drain_limit_is_over() -> None:
+    follower = following(10)
+    follower.tell(m.Compacted())
+    follower.read(20, fleet(2))
+    begun = follower.now
+    follower.wait(m.LOOK_AGAIN + MILLI)
+    follower.tell(m.Ended("refused"))
+    while len(follower.view) > 2:
+        follower.wait(10 * MILLI)
+        assert follower.now - begun < SECOND
+    agreed = following(10)
+    agreed.tell(m.Compacted())
+    agreed.read(20, fleet(2))
+    agreed.wait(m.LOOK_AGAIN + MILLI)
+    agreed.read(20, fleet(2))
+    agreed.settle()
+    assert len(agreed.view) == 2
+
+
+def test_a_restored_backup_with_another_cluster_id_is_read_anew_and_said() -> None:
+    follower = following()
+    assert m.Read() in follower.tell(m.Changes(2, [("n0", 3, b"old")]))
+    follower.read(4, fleet(6, 2) | {"n0": (3, b"old")}, cluster=2)
+    follower.settle()
+    assert follower.told == [("n0", b"old")] and follower.machine.revision == 4
+    assert any("another cluster id" in line for line in follower.said)
+    follower.tell(m.Changes(2, [("n1", 5, b"drains")]))
+    follower.settle()
+    assert follower.view["n1"] == b"drains"
+
+
+def test_revisions_that_stay_behind_under_the_same_cluster_are_taken_after_a_while() -> None:
+    follower = following()
+    for _ in range(40):
+        follower.tell(m.Ended("reset"))
+        follower.wait(2 * SECOND)
+        if follower.machine.mode is m.Mode.WATCHING and follower.machine.revision == 10:
+            follower.tell(m.Progress(1, 4))
+        elif follower.machine.mode is m.Mode.READING:
+            follower.read(4, fleet(5, 3))
+    follower.settle()
+    assert follower.machine.revision == 4 and "n5" not in follower.view
+    assert sum("went back from 10 to 4" in line for line in follower.said) == 1
+
+
+def test_an_outage_is_said_once_and_so_is_its_end_and_the_list_stays() -> None:
+    follower = following()
+    for _ in range(30):
+        follower.tell(m.Ended("refused"))
+        follower.wait(SECOND)
+    assert len(follower.view) == 6 and len(follower.said) == 1 and "stays in use" in follower.said[0]
+    follower.machine.mode = m.Mode.WATCHING
+    follower.tell(m.Progress(1, 10))
+    assert follower.said[1:] == ["etcd answers again"]
+
+
+def test_pauses_grow_to_a_bound_and_are_spread() -> None:
+    follower, pauses = Follower(), []
+    for _ in range(12):
+        follower.tell(m.Ended("refused"))
+        pauses.append(follower.machine.resume_at - follower.now)
+        follower.wait(m.MOST_PAUSE)
+    assert pauses[0] <= m.FIRST_PAUSE and max(pauses) <= m.MOST_PAUSE
+    assert all(pause > m.MOST_PAUSE // 2 for pause in pauses[7:]) and len(set(pauses[7:])) > 1
+
+
+class Play:
+    """A store that is a plain dictionary with a revision, a watch on it, and the machine that follows."""
+
+    def __init__(self) -> None:
+        self.store: dict[str, tuple[int, bytes]] = {}
+        self.history: list[tuple[str, int, bytes | None]] = []
+        self.revision = self.compacted = 1
+        self.sent = 0  # how far the watch has told, by revision
+        self.follower = Follower()
+
+    def put(self, which: int, value: int) -> None:
+        self.batch([which], b"%d" % value)
+
+    def many(self, which: int, value: int) -> None:
+        self.batch(list(range(which)), b"b%d" % value)
+
+    def batch(self, which: list[int], value: bytes) -> None:
+        self.revision += 1
+        for n in which:
+            self.store[f"n{n}"] = (self.revision, value)
+            self.history.append((f"n{n}", self.revision, value))
+
+    def delete(self, which: int, value: int) -> None:
+        if self.store.pop(f"n{which}", None) is not None:
+            self.revision += 1
+            self.history.append((f"n{which}", self.revision, None))
+
+    def broken(self, which: int, value: int) -> None:
+        self.follower.tell(m.Ended("reset"))
+
+    def compact(self, which: int, value: int) -> None:
+        self.compacted = self.revision
+
+    def repeat(self, which: int, value: int) -> None:
+        told = [one for one in self.history if one[1] <= self.sent]
+        self.follower.tell(m.Changes(1, told[-1 - which :]))
+
+    def stale(self, which: int, value: int) -> None:
+        self.follower.tell(m.Progress(1, max(1, self.sent - which)))
+
+    def progress(self, which: int, value: int) -> None:
+        self.follower.tell(m.Progress(1, self.sent))
+
+    def serve(self) -> None:
+        """Does what the machine wants, and has the watch catch up."""
+        for _ in range(8):
+            self._answer()
+            watching = self.follower.machine.mode is m.Mode.WATCHING
+            if watching and not self.follower.wants:
+                changes = [one for one in self.history if one[1] > self.sent]
+                if changes:
+                    self.follower.tell(m.Changes(1, changes))
+                self.sent = self.revision
+                if not self.follower.wants:
+                    return
+            self.follower.wait(SECOND // 2)
+
+    def _answer(self) -> None:
+        wants, self.follower.wants = self.follower.wants, []
+        for want in wants:
+            if isinstance(want, m.Read) and self.follower.machine.mode is m.Mode.READING:
+                self.follower.read(self.revision, dict(self.store))
+            elif isinstance(want, m.WatchFrom):
+                self.sent = want.revision - 1
+                if want.revision <= self.compacted < self.revision:
+                    self.follower.tell(m.Compacted())
+
+
+KINDS = ("put", "delete", "many", "broken", "compact", "repeat", "stale", "progress")
+STEPS = st.lists(st.tuples(st.sampled_from(KINDS), st.integers(0, 5), st.integers(0, 3)), max_size=80)
+
+
+@settings(max_examples=300)
+@given(STEPS)
+def test_whatever_happens_the_view_becomes_the_stores_and_never_goes_back(
+    steps: list[tuple[str, int, int]],
+) -> None:
+    """The watch may break, repeat, compact or lag at any step."""
+    play, revisions = Play(), [0]
+    follower = play.follower
+    play.serve()
+    for what, which, value in steps:
+        getattr(play, what)(which, value)
+        follower.wait(value * 20 * MILLI)
+        if value:
+            play.serve()
+        revisions.append(follower.machine.revision)
+    for _ in range(6):
+        follower.wait(2 * SECOND)
+        play.serve()
+    follower.settle()
+    assert follower.view == {uid: value for uid, (_, value) in play.store.items()}
+    assert revisions == sorted(revisions)
+    for uid in play.store:
+        mine = [value for whose, value in follower.told if whose == uid]
+        assert all(one != two for one, two in pairwise(mine))  # each change once
--- /dev/null
+++ b/tests/membership/test_members.py
@@ -0,0 +1,221 @@
+"""The operator's table, and `rainhitch members` as a process against the stand-in."""
+
+import asyncio
+import json
+import os
+import sys
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+import pytest
+import pytest_asyncio
+import trustme
+from peers import PATIENCE, entry, soon
+from program import ROOT, configuration, started
+
+from rainhitch.membership import editing
+from rainhitch.membership.choice import MembershipError, etcd_options
+from rainhitch.membership.etcd import Client, Options
+from rainhitch.operator import Membership, read_operator
+from rainhitch.rehearsal.world.etcd import Etcd
+from rainhitch.tables import TableError
+
+KEY = b"/rainhitch/members/"
+
+
+@pytest_asyncio.fixture
+async def etcd() -> AsyncIterator[Etcd]:
+    made = Etcd()
+    await made.start()
+    for name in ("c0", "c1"):
+        made.store.put(KEY + name.encode(), json.dumps(entry(name, "127.0.0.1:1")).encode())
+    yield made
+    await made.close()
+
+
+def operator(tmp_path: Path, etcd: Etcd, more: str = "") -> Path:
+    path = tmp_path / "operator.toml"
+    endpoints = json.dumps(etcd.endpoints)
+    path.write_text(f'[membership]\nsource = "etcd"\nendpoints = {endpoints}\n{more}')
+    return path
+
+
+async def members(path: Path, *words: str) -> tuple[int, str, str]:
+    running = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "rainhitch",
+        "members",
+        "--operator",
+        str(path),
+        *words,
+        cwd=ROOT,
+        stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.PIPE,
+    )
+    out, err = await asyncio.wait_for(running.communicate(), PATIENCE)
+    return running.returncode or 0, out.decode(), err.decode()
+
+
+async def test_a_member_is_listed_drained_and_restored(tmp_path: Path, etcd: Etcd) -> None:
+    path = operator(tmp_path, etcd)
+    etcd.store.put(KEY + b"odd", b"{")
+    code, out, _ = await members(path, "list")
+    assert code == 0 and out.startswith("2 members of 3 keys") and f"revision {etcd.store.revision}" in out
+    assert "odd" in out and "can't be read" in out
+    code, out, _ = await members(path, "drain", "c0")
+    assert (code, out) == (0, f"c0 is Terminating, revision {etcd.store.revision}\n")
+    code, _, err = await members(path, "drain", "c0")
+    assert code == 1 and "it is Terminating already" in err
+    assert (await members(path, "restore", "c0"))[0] == 0
+    code, _, err = await members(path, "drain", "c9")
+    assert code == 1 and "no such member" in err
+
+
+async def test_a_file_is_put_whole_or_not_at_all(tmp_path: Path, etcd: Etcd) -> None:
+    path, file = operator(tmp_path, etcd), tmp_path / "list.json"
+    file.write_text(json.dumps([entry("c8", "127.0.0.1:8"), entry("c0", "127.0.0.1:7")]))
+    before = etcd.store.revision
+    assert (await members(path, "put", str(file)))[0] == 0
+    assert etcd.store.revision == before + 1
+    for bad, why in (
+        ("{", "no JSON"),
+        ("[]", "a list of entries"),
+        (json.dumps([entry("c1", "x")]), "host:port"),
+        (json.dumps([entry("c1", "h:1", state="Gone")]), "allowed are Ready"),
+        (json.dumps([entry("c1", "h:1")] * 2), "a text of its own"),
+    ):
+        file.write_text(bad)
+        code, _, err = await members(path, "put", str(file))
+        assert code == 1 and why in err, err
+    assert etcd.store.revision == before + 1
+
+
+async def test_two_operators_do_not_undo_one_another(etcd: Etcd) -> None:
+    client = Client(Options([("127.0.0.1", etcd.members[0].port)]), ("127.0.0.1", etcd.members[0].port))
+    one = await editing.held(client, "c0")
+    await editing.set_state(client, "c0", "Terminating")
+    with pytest.raises(editing.RefusedError, match="somebody else changed it"):
+        await editing.write(client, [(one, b"{}")])
+    new = await editing.held(client, "new")
+    await editing.put(client, [entry("new", "h:1")])
+    with pytest.raises(editing.RefusedError):
+        await editing.write(client, [(new, b"{}")])  # it was not there when it was read
+    client.close()
+
+
+async def test_changes_are_shown_as_they_come(tmp_path: Path, etcd: Etcd) -> None:
+    watching = asyncio.create_task(members(operator(tmp_path, etcd), "watch", "--for", "4"))
+    await soon(lambda: etcd.wakes)
+    etcd.store.delete(KEY + b"c1")
+    code, out, _ = await watching
+    assert code == 0 and out.splitlines() == ["the list, 2 entries", "c1 Gone"]
+
+
+async def test_etcd_away_and_bad_tables_are_told_in_a_line(tmp_path: Path, etcd: Etcd) -> None:
+    path = operator(tmp_path, etcd, "timeout_s = 0.5\n")
+    etcd.refuse = True
+    code, _, err = await members(path, "list")
+    assert code == 3 and "etcd did not answer" in err
+    path.write_text("")
+    code, _, err = await members(path, "list")
+    assert code == 2 and "there is no list in etcd" in err
+
+
+@pytest.mark.parametrize(
+    ("text", "why"),
+    [
+        ('endpoints = ["nowhere"]', "allowed is host:port"),
+        ('endpoints = ["h:0"]', "allowed is host:port"),
+        ('certificate = "a"', "allowed are both or neither"),
+        ('certificate = "a"\nkey = "b"', "needs membership.ca"),
+        ('user = "a"', "allowed are both or neither"),
+        ('prefix = "x"', "ends with /"),
+        ('source = "zookeeper"', "one of discovery, etcd"),
+        ("timeout_s = 0", "a number from 0.1 to 60"),
+    ],
+)
+def test_each_bad_key_of_the_table_is_told(tmp_path: Path, text: str, why: str) -> None:
+    path = tmp_path / "operator.toml"
+    path.write_text(f"[membership]\n{text}\n")
+    with pytest.raises(TableError) as failed:
+        read_operator(path)
+    assert len(failed.value.lines) == 1 and why in failed.value.lines[0]
+
+
+def test_files_that_are_of_no_use_are_told(tmp_path: Path) -> None:
+    bad = tmp_path / "bad.pem"
+    bad.write_text("no certificate")
+    for table in (
+        Membership(ca=str(tmp_path / "missing.pem")),
+        Membership(ca=str(bad)),
+        Membership(user="u", password_file=str(tmp_path / "missing")),
+    ):
+        with pytest.raises(MembershipError):
+            etcd_options(table)
+
+
+@pytest.mark.parametrize("trusted", [True, False])
+async def test_tls_is_checked_on_both_sides(tmp_path: Path, trusted: bool) -> None:
+    import ssl
+
+    authority, other = trustme.CA(), trustme.CA()
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    authority.issue_cert("127.0.0.1").configure_cert(context)
+    context.verify_mode = ssl.CERT_REQUIRED
+    authority.configure_trust(context)
+    context.set_alpn_protocols(["h2"])
+    etcd = Etcd(tls=context)
+    await etcd.start()
+    etcd.store.put(KEY + b"c0", json.dumps(entry("c0", "127.0.0.1:1")).encode())
+    ca, mine = tmp_path / "ca.pem", authority.issue_cert("router@example.org")
+    (authority if trusted else other).cert_pem.write_to_path(str(ca))
+    mine.private_key_pem.write_to_path(str(tmp_path / "key.pem"))
+    mine.cert_chain_pems[0].write_to_path(str(tmp_path / "cert.pem"))
+    more = f'ca = "{ca}"\ncertificate = "{tmp_path}/cert.pem"\nkey = "{tmp_path}/key.pem"\n'
+    code, out, err = await members(operator(tmp_path, etcd, more), "list")
+    assert (code, "1 members" in out, "did not answer" in err) == (
+        (0, True, False) if trusted else (3, False, True)
+    )
+    await etcd.close()
+
+
+async def test_a_router_follows_etcd_and_serves_from_what_it_knows_while_that_is_away(
+    tmp_path: Path, etcd: Etcd
+) -> None:
+    """PING tells the truth: with etcd away at the start, by the known list alone."""
+    known = {"rev": 3, "all": True, "targets": [entry("k0", "127.0.0.1:1")]}
+    etcd.refuse = True
+    env = {
+        **configuration(tmp_path, known=known),
+        "RAINHITCH_OPERATOR": str(operator(tmp_path, etcd)),
+    }
+    running = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "rainhitch", env={**os.environ, **env}, cwd=ROOT, stderr=asyncio.subprocess.PIPE
+    )
+    try:
+        address = await started(running)
+
+        async def ping() -> bytes:
+            reader, writer = await asyncio.open_connection(*address)
+            writer.write(b"*1\r\n$4\r\nPING\r\n")
+            line = await asyncio.wait_for(reader.readline(), PATIENCE)
+            writer.close()
+            return line
+
+        assert await ping() == b"+PONG\r\n"
+        for name in (b"c0", b"c1"):
+            state = json.dumps(entry(name.decode(), "127.0.0.1:1", state="Terminating")).encode()
+            etcd.store.put(KEY + name, state)
+        etcd.refuse = False
+        async with asyncio.timeout(PATIENCE):
+            while not (await ping()).startswith(b"-LOADING"):  # the list has come: nobody is ready
+                await asyncio.sleep(0.05)
+        etcd.store.put(KEY + b"c0", json.dumps(entry("c0", "127.0.0.1:1")).encode())
+        async with asyncio.timeout(PATIENCE):
+            while await ping() != b"+PONG\r\n":
+                await asyncio.sleep(0.05)
+    finally:
+        running.terminate()
+        await asyncio.wait_for(running.communicate(), PATIENCE)
+    assert running.returncode == 0
--- /dev/null
+++ b/tests/membership/test_source.py
@@ -0,0 +1,273 @@
+"""The etcd source against the stand-in over sockets: each fault, what the router holds, and what is said."""
+
+import asyncio
+import contextlib
+import logging
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+from typing import Any
+
+import orjson
+import pytest
+from peers import PATIENCE, entry, info, soon
+
+from rainhitch import interface as api
+from rainhitch.membership import machine
+from rainhitch.membership.etcd import Options, Source
+from rainhitch.membership.roster import Roster
+from rainhitch.node.discovery import Directory
+from rainhitch.node.pool import Pools
+from rainhitch.rehearsal.world.etcd import Etcd
+from rainhitch.settings import read_names
+
+PREFIX = "/rainhitch/members/"
+
+
+def row(name: str, state: str = "Ready", **changes: Any) -> bytes:
+    return orjson.dumps(entry(name, "127.0.0.1:1", state=state, **changes))
+
+
+@dataclass
+class Scene:
+    etcd: Etcd
+    source: Source
+    directory: Directory
+    told: list[api.Members]
+
+    def put(self, name: str, state: str = "Ready", **changes: Any) -> None:
+        self.etcd.store.put(PREFIX.encode() + name.encode(), row(name, state, **changes))
+
+    def states(self) -> dict[str, str]:
+        return {uid: target.member.state.value for uid, target in self.directory.targets.items()}
+
+    async def until(self, **states: str) -> None:
+        """Waits until the router holds just these servers, in these states."""
+        await soon(lambda: self.states() == states)
+
+
+@contextlib.asynccontextmanager
+async def scene(
+    members: int = 1, known: list[str] | None = None, start: bool = True, **options: Any
+) -> AsyncIterator[Scene]:
+    etcd = Etcd(members)
+    await etcd.start()
+    told: list[api.Members] = []
+    directory = Directory(read_names(info()), 1, Pools(64, 0.25, 60.0), told.append)
+    roster = Roster(directory.take, lambda: directory.rev)
+    endpoints = [("127.0.0.1", one.port) for one in etcd.members]
+    source = Source(Options(endpoints, PREFIX, **options), roster.publish, 1, known)
+    made = Scene(etcd, source, directory, told)
+    for name in ("c0", "c1", "c2"):
+        made.put(name)
+    try:
+        if start:
+            source.start()
+            await made.until(c0="ready", c1="ready", c2="ready")
+        yield made
+    finally:
+        source.stop()
+        etcd.silent = False
+        await etcd.close()
+
+
+def lines(caplog: pytest.LogCaptureFixture, part: str) -> int:
+    return sum(part in record.getMessage() for record in caplog.records)
+
+
+async def test_a_drain_reaches_the_router_and_a_deletion_or_an_ended_lease_is_gone() -> None:
+    async with scene() as one:
+        one.put("c0", "Terminating")
+        await one.until(c0="draining", c1="ready", c2="ready")
+        one.etcd.store.delete(PREFIX.encode() + b"c1")
+        await one.until(c0="draining", c2="ready")
+        now = [0.0]
+        one.etcd.store.clock = lambda: now[0]
+        one.etcd.store.put(PREFIX.encode() + b"c3", row("c3"), one.etcd.store.grant(2))
+        await one.until(c0="draining", c2="ready", c3="ready")
+        now[0] = 3.0
+        await one.until(c0="draining", c2="ready")
+
+
+async def test_two_changes_of_one_transaction_come_together() -> None:
+    async with scene() as one:
+        before = len(one.told)
+        key = PREFIX.encode()
+        one.etcd.store.commit([(key + b"c0", row("c0", "Terminating"), 0), (key + b"c9", row("c9"), 0)])
+        await one.until(c0="draining", c1="ready", c2="ready", c9="ready")
+        assert len(one.told) == before + 1
+
+
+async def test_a_dropped_stream_resumes_and_nothing_is_told_twice() -> None:
+    async with scene() as one:
+        for n in range(4):
+            one.etcd.drop()
+            one.put("c0", "Terminating" if n % 2 == 0 else "Ready")
+            await one.until(c0="ready" if n % 2 else "draining", c1="ready", c2="ready")
+        assert [event.kind for event in one.told] == [api.ListKind.FULL] + [api.ListKind.DELTA] * 4
+
+
+async def test_a_watch_that_was_compacted_away_is_read_whole_and_compared(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    async with scene() as one:
+        await one.etcd.kill(0)
+        one.put("c0", "Terminating")
+        one.etcd.store.delete(PREFIX.encode() + b"c1")
+        one.put("c7")
+        one.etcd.store.compact(one.etcd.store.revision)
+        await one.etcd.revive(0)
+        await one.until(c0="draining", c2="ready", c7="ready")
+        assert lines(caplog, "was compacted") == 1
+
+
+async def test_a_silent_stream_is_given_up_within_the_stated_time(
+    monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    monkeypatch.setattr(machine, "SILENT", 600_000_000)
+    monkeypatch.setattr(machine, "PROGRESS", 200_000_000)
+    async with scene(members=2) as one:
+        await soon(lambda: one.source.machine.mode is machine.Mode.WATCHING)
+        one.etcd.silent = True
+        await soon(lambda: lines(caplog, "silent for"))
+        one.etcd.silent = False
+        one.put("c0", "Terminating")
+        await one.until(c0="draining", c1="ready", c2="ready")
+        assert lines(caplog, "answers again") == 1
+
+
+async def test_progress_is_asked_of_a_quiet_watch_and_keeps_it() -> None:
+    async with scene() as one:
+        await asyncio.sleep(2.5)
+        one.etcd.store.put(b"/elsewhere", b"x")  # another's key: only progress tells of its revision
+        await soon(lambda: one.source.machine.revision == one.etcd.store.revision)
+        assert not one.source.machine.away
+
+
+async def test_a_member_that_lags_does_not_undo_a_drain(caplog: pytest.LogCaptureFixture) -> None:
+    async with scene(members=2) as one:
+        one.put("c0", "Terminating")
+        await one.until(c0="draining", c1="ready", c2="ready")
+        one.etcd.lag(1, behind=1)
+        await one.etcd.kill(0)
+        await soon(lambda: one.source.turn >= 3)
+        assert one.states()["c0"] == "draining"
+        one.etcd.lag(-1)
+        one.put("c1", "Terminating")
+        await one.until(c0="draining", c1="draining", c2="ready")
+
+
+async def test_it_fails_over_between_endpoints_and_the_list_stays(caplog: pytest.LogCaptureFixture) -> None:
+    async with scene(members=2) as one:
+        await one.etcd.kill(0)
+        one.put("c0", "Terminating")
+        await one.until(c0="draining", c1="ready", c2="ready")
+        await one.etcd.kill(1)
+        await soon(lambda: one.source.machine.pauses > 2)
+        assert one.states() == {"c0": "draining", "c1": "ready", "c2": "ready"} and one.directory.can_serve
+        await one.etcd.revive(0)
+        one.put("c1", "Terminating")
+        await one.until(c0="draining", c1="draining", c2="ready")
+
+
+async def test_without_a_leader_the_list_stays_and_goes_on_with_the_next(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    async with scene() as one:
+        one.etcd.lead(False)
+        await soon(lambda: lines(caplog, "no leader"))
+        assert len(one.states()) == 3
+        one.put("c0", "Terminating")
+        one.etcd.lead(True)
+        await one.until(c0="draining", c1="ready", c2="ready")
+
+
+async def test_a_restored_backup_is_said_and_read_anew(caplog: pytest.LogCaptureFixture) -> None:
+    async with scene() as one:
+        backup = one.etcd.store.revision
+        one.put("c0", "Terminating")
+        one.put("c5")
+        await one.until(c0="draining", c1="ready", c2="ready", c5="ready")
+        one.etcd.restore(backup)
+        await one.until(c0="ready", c1="ready", c2="ready")
+        assert lines(caplog, "another cluster id") == 1
+        one.put("c2", "Terminating")
+        await one.until(c0="ready", c1="ready", c2="draining")
+
+
+async def test_an_entry_that_cannot_be_read_is_logged_once_and_the_others_stand(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    async with scene() as one:
+        for value in (b"{", b"[]", b'{"uid": "other"}'):
+            one.etcd.store.put(PREFIX.encode() + b"c0", value)
+            one.etcd.store.put(PREFIX.encode() + b"bad", value)
+        one.put("c1", "Terminating")
+        await one.until(c0="ready", c1="draining", c2="ready")
+        await soon(lambda: one.source.machine.revision == one.etcd.store.revision)
+        assert lines(caplog, "key bad can't be read") == 1 and lines(caplog, "key c0 can't be read") == 1
+
+
+async def test_a_password_is_checked_and_an_expired_token_is_asked_for_anew(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    async with scene(start=False, user="router", password="secret") as one:
+        one.etcd.users["router"] = "secret"
+        one.source.start()
+        await one.until(c0="ready", c1="ready", c2="ready")
+        one.etcd.expire_tokens()
+        one.etcd.drop()
+        one.put("c0", "Terminating")
+        await one.until(c0="draining", c1="ready", c2="ready")
+    async with scene(start=False, user="router", password="wrong") as two:
+        two.etcd.users["router"] = "secret"
+        two.source.start()
+        await soon(lambda: lines(caplog, "authentication failed"))
+        assert not two.directory.can_serve
+
+
+async def test_a_wrong_prefix_empties_no_fleet_at_once(caplog: pytest.LogCaptureFixture) -> None:
+    async with scene(start=False, known=[f"k{n}" for n in range(9)]) as one:
+        one.source.options.prefix = "/nobody/"
+        one.source.start()
+        await soon(lambda: lines(caplog, "a read drops 9 of 9"))
+
+
+async def test_a_list_of_many_pages_and_a_response_of_10_mb_are_taken_up() -> None:
+    async with scene() as one:
+        keys = [(PREFIX.encode() + b"m%d" % n, row(f"m{n}"), 0) for n in range(2500)]
+        one.etcd.store.commit(keys)
+        await soon(lambda: len(one.directory.targets) == 2503)
+        blob = row("c0", "Terminating", note="x" * (10 << 20))
+        one.etcd.store.put(PREFIX.encode() + b"c0", blob)
+        await soon(lambda: one.states()["c0"] == "draining")
+    async with scene(start=False) as two:
+        two.etcd.store.commit(keys)
+        two.source.start()
+        await soon(lambda: len(two.directory.targets) == 2503)
+
+
+async def test_delays_only_delay() -> None:
+    async with scene() as one:
+        one.etcd.delay_s = 0.3
+        one.put("c0", "Terminating")
+        await one.until(c0="draining", c1="ready", c2="ready")
+
+
+async def test_what_is_no_etcd_is_said_and_harms_nothing(caplog: pytest.LogCaptureFixture) -> None:
+    async def noise(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        writer.write(b"HTTP/1.1 400 Bad Request\r\n\r\n")
+        writer.close()
+
+    server = await asyncio.start_server(noise, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    told: list[bool] = []
+    source = Source(Options([("127.0.0.1", port)], PREFIX, timeout=0.5), lambda a, b: told.append(b), 1)
+    source.start()
+    async with asyncio.timeout(PATIENCE):
+        await soon(lambda: lines(caplog, "etcd did not answer"))
+    source.stop()
+    server.close()
+    assert not told
+
+
+logging.getLogger("rainhitch").setLevel(logging.INFO)
--- a/tests/policy/test_balancer.py
+++ b/tests/policy/test_balancer.py
@@ -627,3 +627,26 @@
     assert router.tell(api.PeerMessage(1, "00")) == []
     assert router.tell(api.Probed("c0", S.OK, 1)) == []
     assert router.now == START and router.balancer.settings.origin_kind == ORIGIN_KIND
+
+
+def test_one_broken_connection_marks_no_server_that_has_just_answered() -> None:
+    """Where connections broke now and then, each break put a server aside for a third of a second."""
+    router = Router()
+    owner = router.serve("k")
+    server = router.balancer.fleet.servers[owner]
+    _, (send,) = router.ask("k")
+    router.end(send, S.RESET)
+    assert server.fails < 1 and not router.log
+    _, (send,) = router.ask("k")
+    assert isinstance(send, api.Send) and send.server == owner
+    router.end(send, S.RESET)
+    assert server.fails > 0  # the second in a row
+
+
+def test_a_server_that_has_not_answered_lately_is_marked_by_the_first_break() -> None:
+    router = Router()
+    owner = router.serve("k")
+    router.wait(SECOND)
+    _, (send,) = router.ask("k")
+    router.end(send, S.CONNECT_FAILED)
+    assert router.balancer.fleet.servers[owner].fails == 1
--- a/tests/storms/test_parts.py
+++ b/tests/storms/test_parts.py
@@ -281,3 +281,10 @@
 def test_in_calm_nobody_waits() -> None:
     pace, now = Pace(100, 4000), START
     assert all(pace.accepted(now + n * MILLI) == 0 for n in range(1000))
+
+
+def test_a_router_that_has_just_started_takes_its_first_crowd_for_no_storm() -> None:
+    """It knows of no usual number, and everybody connects to it."""
+    detector = Detector()
+    detector.step(START)
+    assert period(detector, START + PERIOD, arrivals=200, connects=40, retries=2) == ""
