--- a/rainhitch/membership/etcd.py
+++ b/rainhitch/membership/etcd.py
@@ -243,6 +243,7 @@
             while (told := await stream.recv_message()) is not None:
                 if told.canceled:
                     if told.compact_revision:
+                        await stream.cancel()
                         self._tell(m.Compacted())
                         return
                     raise StreamTerminatedError(told.cancel_reason or "the watch was cancelled")
@@ -250,7 +251,7 @@
                 if not told.fragment:
                     self._heard(parts)
                     parts = []
-            await stream.recv_trailing_metadata()
+            await stream.recv_trailing_metadata()  # raises what the other side gave as its reason
             raise StreamTerminatedError("the watch ended")
 
     def _heard(self, parts: list[Any]) -> None:
--- a/rainhitch/membership/machine.py
+++ b/rainhitch/membership/machine.py
@@ -58,7 +58,7 @@
 
 @dataclass(slots=True)
 class Progress:
-    """The watch has told everything up to this revision."""
+    """The watch says that it has told everything up to this revision."""
 
     cluster: int
     revision: int
@@ -334,5 +334,6 @@
         elif told.revision < self.revision:
             self._behind(now, told.revision, actions)
         else:
+            # A sign of life and no more. Guards against a drain lost for good: released versions of etcd have
+            # told a progress that was ahead of the events still on their way.
             self._answers(now, actions)
-            self.revision = told.revision
--- a/rainhitch/rehearsal/plan.py
+++ b/rainhitch/rehearsal/plan.py
@@ -352,6 +352,11 @@
         "link-reset": once("link", link, "reset"),
         "router-kill": both("router", fault.router, "kill", "start", notice=notice),
         "router-reload": once("router", fault.router, "reload"),
+        "etcd-drop": once("etcd", "", "drop"),
+        "etcd-compact": once("etcd", "", "compact"),
+        "etcd-silent": both("etcd", "", "silent", "speak"),
+        "etcd-outage": both("etcd", "", "away", "back"),
+        "etcd-delay": both("etcd", "", "delay", "timely", delay=micros(fault.delay_s)),
     }
     return simple.get(kind, [])  # hot keys, floods and surges are in what clients ask
 
--- a/rainhitch/rehearsal/routers.py
+++ b/rainhitch/rehearsal/routers.py
@@ -131,6 +131,7 @@
     told: str = ""  # what the stage did to it last: start, kill, term
     crash: Json | None = None
     peak: int = 0  # bytes resident, at most
+    operator: str = ""  # the operator's file, where the day needs one
 
     def __post_init__(self) -> None:
         host, _, port = self.config["listen"].rpartition(":")
@@ -160,6 +161,10 @@
             "BALANCER_CONFIG": str(path),
             "TMPDIR": str(scratch),
         }
+        if self.operator:
+            path = self.folder / f"router-{self.number}.toml"
+            path.write_text(self.operator)
+            env["RAINHITCH_OPERATOR"] = str(path)
         self.told = "start"
         self.ended.clear()
         with self.log.open("ab") as log:
--- a/rainhitch/rehearsal/scenario.py
+++ b/rainhitch/rehearsal/scenario.py
@@ -157,6 +157,7 @@
     drain_s: tuple[float, float] = tables.pair((0.2, 1), 0, 600, "or drains")
     add_s: tuple[float, float] = tables.pair((0.48, 1.8), 0, 600, "or came")
     spread_ms: tuple[float, float] = tables.pair((14, 110), 0, 60000, "more, for each router apart")
+    source: str = tables.text("agents", "the platform's agents, or a stand-in for etcd", ("agents", "etcd"))
 
 
 @dataclass(slots=True)
@@ -230,6 +231,8 @@
     nodes = [uid for uid, _, _ in told.nodes()]
     at_work = (told.fleet.rooms, nodes, told.fleet.routers, told.day.length_s)
     problems += [f"{path.name}: {line}" for line in check_faults(told.faults, *at_work)]
+    if told.discovery.source != "etcd" and any(one.kind.startswith("etcd-") for one in told.faults):
+        problems.append(f"{path.name}: faults of etcd need discovery.source = 'etcd'")
     if problems:
         raise tables.TableError(problems)
     return told
--- a/rainhitch/rehearsal/stage.py
+++ b/rainhitch/rehearsal/stage.py
@@ -191,6 +191,11 @@
             }
             memory = int(day.memory_mb * (1 << 20))
             router = Router(number, self.words, self.folder, config, memory, day.sockets)
+            if "etcd" in lists[number]:
+                router.operator = (
+                    f'[membership]\nsource = "etcd"\nendpoints = ["{lists[number]["etcd"]}"]\n'
+                    f'prefix = "/rainhitch/members/{number}/"\n'
+                )
             self.routers.append(router)
             await router.start()
         for router in self.routers:
--- a/rainhitch/rehearsal/world/etcd.py
+++ b/rainhitch/rehearsal/world/etcd.py
@@ -258,6 +258,8 @@
         pairs = self.world.store.range(request.key, request.range_end, revision)
         page = pairs[: request.limit] if request.limit else pairs
         kvs = [] if request.count_only else [key_value(*one) for one in page]
+        if request.range_end and not request.count_only and len(page) == len(pairs):
+            self.world.read(self.number, request.key, [key for key, _ in page])
         return etcd.message(
             "RangeResponse", header=self.header(), kvs=kvs, more=len(page) < len(pairs), count=len(pairs)
         )
@@ -359,10 +361,7 @@
                     raise GRPCError(Status.UNAVAILABLE, etcd.NO_LEADER)
                 if life != self.world.life or self.down:
                     raise GRPCError(Status.UNAVAILABLE, "etcdserver: server stopped")
-                while not asked.empty():
-                    await self._asked(stream, watchers, asked.get_nowait())
-                for one in list(watchers.values()):
-                    await self._catch_up(stream, watchers, one)
+                await self._serve(stream, watchers, asked)
                 if time.monotonic() - notified > NOTIFY:
                     notified = time.monotonic()
                     for one in watchers.values():
@@ -378,7 +377,23 @@
             self.world.store.changed.remove(wake.set)
             self.world.wakes.remove(wake)
 
-    async def _asked(self, stream: Any, watchers: dict[int, Watcher], request: Any) -> None:
+    async def _serve(self, stream: Any, watchers: dict[int, Watcher], asked: "asyncio.Queue[Any]") -> None:
+        """Takes what was asked and has every watch catch up; then tells progress, where that was asked for."""
+        progress = False
+        while not asked.empty():
+            progress |= await self._asked(stream, watchers, asked.get_nowait())
+        if progress and self.world.hasty:
+            await self._progress(stream)
+        for one in list(watchers.values()):
+            await self._catch_up(stream, watchers, one)
+        if progress and not self.world.hasty:
+            await self._progress(stream)
+
+    async def _progress(self, stream: Any) -> None:
+        await stream.send_message(etcd.message("WatchResponse", header=self.header(), watch_id=-1))
+
+    async def _asked(self, stream: Any, watchers: dict[int, Watcher], request: Any) -> bool:
+        """Takes a request of a watch stream; whether it asks for progress."""
         which = request.WhichOneof("request_union")
         if which == "create_request":
             told = request.create_request
@@ -390,14 +405,12 @@
             await stream.send_message(
                 etcd.message("WatchResponse", header=self.header(), watch_id=number, created=True)
             )
-        elif which == "cancel_request":
-            if watchers.pop(request.cancel_request.watch_id, None) is not None:
-                number = request.cancel_request.watch_id
-                await stream.send_message(
-                    etcd.message("WatchResponse", header=self.header(), watch_id=number, canceled=True)
-                )
-        elif which == "progress_request":
-            await stream.send_message(etcd.message("WatchResponse", header=self.header(), watch_id=-1))
+        elif which == "cancel_request" and watchers.pop(request.cancel_request.watch_id, None) is not None:
+            number = request.cancel_request.watch_id
+            await stream.send_message(
+                etcd.message("WatchResponse", header=self.header(), watch_id=number, canceled=True)
+            )
+        return bool(which == "progress_request")
 
     async def _catch_up(self, stream: Any, watchers: dict[int, Watcher], one: Watcher) -> None:
         store = self.world.store
@@ -440,6 +453,7 @@
         version = next(one for one in self.world.store.keys[key] if one.revision == revision)
         kind = etcd.PUT if version.value is not None else etcd.DELETE
         event = etcd.message("Event", type=kind, kv=key_value(key, version))
+        self.world.sent(self.number, key, version.value is not None)
         before = self.world.store.at(key, revision - 1) if prev else None
         if before is not None:
             event.prev_kv.CopyFrom(key_value(key, before))
@@ -458,6 +472,10 @@
         self.wakes: list[asyncio.Event] = []
         self.refuse = self.leaderless = self.silent = False
         self.delay_s = 0.0
+        self.hasty = False  # progress is told before the events that it counts, as some released versions did
+        # Told of each entry that goes to a member's clients, and of each whole list.
+        self.sent: Callable[[int, bytes, bool], None] = lambda member, key, there: None
+        self.read: Callable[[int, bytes, list[bytes]], None] = lambda member, begin, keys: None
         self.life = 0  # of the streams: with another number those that are open end
         self.expiring: asyncio.Task[None] | None = None
 
--- a/tests/membership/test_following.py
+++ b/tests/membership/test_following.py
@@ -116,6 +116,14 @@
     assert m.WatchFrom(15) in follower.wants and follower.view["n0"] == b"drains"
 
 
+def test_progress_ahead_of_its_events_hides_none_of_them() -> None:
+    follower = following()
+    follower.tell(m.Progress(1, 14))
+    follower.tell(m.Changes(1, [("n0", 12, b"drains"), ("n1", 14, None)]))
+    follower.settle()
+    assert follower.view["n0"] == b"drains" and "n1" not in follower.view
+
+
 def test_a_silent_watch_is_asked_and_then_given_up_within_the_stated_time() -> None:
     """A half-open stream kept a drain from the router for TCP's minutes."""
     follower = following()
