--- a/rainhitch/rehearsal/world/etcd.py
+++ b/rainhitch/rehearsal/world/etcd.py
@@ -378,7 +378,8 @@
             self.world.wakes.remove(wake)
 
     async def _serve(self, stream: Any, watchers: dict[int, Watcher], asked: "asyncio.Queue[Any]") -> None:
-        """Takes what was asked and has every watch catch up; then tells progress, where that was asked for."""
+        """Takes what was asked and has every watch catch up; then tells progress, where that was asked
+        for."""
         progress = False
         while not asked.empty():
             progress |= await self._asked(stream, watchers, asked.get_nowait())
