Tell newcomers in a large list by parts, and known members before them

Need: 10,000 entries in one commit held up requests in work: p99 217 ms while they were taken up, 16 ms before.

Change: the machine tells what is known first, since drains have a limit, and newcomers in parts of 100 every 25 ms; a first list is still told whole.

--- a/rainhitch/membership/machine.py
+++ b/rainhitch/membership/machine.py
@@ -25,12 +25,15 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import Enum
+from itertools import islice
 from random import Random
 
 SECOND = 1_000_000_000
 PROGRESS = SECOND  # between two requests for progress
 SILENT = 3 * SECOND  # after which a watch that says nothing has failed
 GATHER = SECOND // 20
+AT_ONCE, NEW_AT_ONCE = 1000, 100  # known and new entries told at once, but for a first list; the rest follows
+BETWEEN = SECOND // 40  # after so long
 FIRST_PAUSE, MOST_PAUSE = SECOND // 20, 2 * SECOND
 RESTORED = 10 * SECOND  # for which revisions must stay behind to be another history
 DROPPED = 0.5  # part of the entries that a read may drop without a second look
@@ -225,13 +228,21 @@
         """Tells what differs from what was told last: what was undone meanwhile is no change."""
         news = {uid: value for uid, value in self.pending.items() if whole or self.told.get(uid) != value}
         self.pending = {}
+        gap = 0
+        if not whole and len(news) > NEW_AT_ONCE:
+            # Guards requests in work: thousands of entries at once would hold them up for as long as they
+            # take. What is known goes first, since drains have a limit and newcomers have none.
+            first = dict(islice(((uid, news[uid]) for uid in news if uid in self.told), AT_ONCE))
+            first = first or dict(islice(news.items(), NEW_AT_ONCE))
+            self.pending = {uid: value for uid, value in news.items() if uid not in first}
+            news, gap = first, GATHER - BETWEEN
         for uid, value in news.items():
             if value is None:
                 self.told.pop(uid, None)
             else:
                 self.told[uid] = value
         if news or whole:
-            self.told_at = now
+            self.told_at = now - gap
             actions.append(Publish(news, whole))
 
     def _ended(self, now: int, why: str, actions: list[Action]) -> None:
--- a/tests/membership/test_following.py
+++ b/tests/membership/test_following.py
@@ -116,6 +116,20 @@
     assert m.WatchFrom(15) in follower.wants and follower.view["n0"] == b"drains"
 
 
+def test_thousands_of_newcomers_are_told_in_parts_and_drains_go_before_them() -> None:
+    """Ten thousand entries at once held up requests in work for a fifth of a second."""
+    follower = following()
+    follower.wait(SECOND)
+    news: list[tuple[str, int, bytes | None]] = [(f"m{n}", 11, b"ready") for n in range(10_000)]
+    follower.tell(m.Changes(1, news))
+    assert len(follower.told) == m.NEW_AT_ONCE
+    follower.tell(m.Changes(1, [("n0", 12, b"drains"), ("n1", 12, None)]))
+    follower.wait(2 * m.BETWEEN)
+    assert follower.view["n0"] == b"drains" and "n1" not in follower.view
+    follower.wait(4 * SECOND)
+    assert len(follower.view) == 10_005
+
+
 def test_progress_ahead_of_its_events_hides_none_of_them() -> None:
     follower = following()
     follower.tell(m.Progress(1, 14))
