Routers tell one another each second how long cache servers took to answer

Advice only: it names no server, decides no drain, and does not touch the origin. Also: a first attempt waits by what is usual in the fleet (10 to 30% of sends timed out on the word of two quick answers), a handful of requests makes no key hot, and trials of a swamped server are paced by the number of routers.

--- a/rainhitch/interface.py
+++ b/rainhitch/interface.py
@@ -91,6 +91,7 @@
     ramp_time: int = 0
     tip_multiple: float = 1.0
     fall_time: int = 1_000_000_000
+    tell_every: int = 0  # how often the other routers are told; 0: there are none, or they may not be
     move_share: float = MOVE_SHARE  # below 0: keys move at once
 
 
@@ -164,6 +165,22 @@
     load: Load | None = None
 
 
+@dataclass(slots=True)
+class Seen:
+    """Answers of one server as one router saw them: how many, and their mean time."""
+
+    server: str
+    answers: int
+    elapsed: int
+
+
+@dataclass(slots=True)
+class Heard:
+    """Another router's word on servers: advice, late or lost at times."""
+
+    seen: list[Seen]
+
+
 @dataclass(slots=True)
 class Withdrawn:
     """The client has left; nothing more is owed."""
@@ -204,7 +221,7 @@
     keys: list[str] | None
 
 
-Event = Voided | Members | Request | Opened | Outcome | Withdrawn | Alarm | Probed | PeerMessage
+Event = Voided | Members | Request | Opened | Outcome | Withdrawn | Alarm | Probed | PeerMessage | Heard
 
 
 @dataclass(slots=True)
@@ -251,7 +268,14 @@
     text: str
 
 
-Action = Send | Refuse | Fail | Wake | Watch | Log
+@dataclass(slots=True)
+class Tell:
+    """Tell the other routers what was seen since the last time."""
+
+    seen: list[Seen]
+
+
+Action = Send | Refuse | Fail | Wake | Watch | Log | Tell
 
 
 class Verdict(Enum):
--- a/rainhitch/node/configuration.py
+++ b/rainhitch/node/configuration.py
@@ -31,6 +31,15 @@
     """The configuration is missing or makes no sense."""
 
 
+@dataclass(slots=True)
+class Peering:
+    """Where this router hears the others, and where they are."""
+
+    listen: Endpoint
+    peers: list[Endpoint]
+    everyone: Endpoint
+
+
 @dataclass(slots=True)
 class Configuration:
     """What the router is told at its start."""
@@ -45,6 +54,7 @@
     names: Names
     ceilings: Ceilings
     admin: Endpoint | None = None  # the second address
+    peers: "Peering | None" = None  # the other routers, where they may be told
     inherited: int | None = None  # descriptor of the clients' listening socket, where the platform holds it
 
 
@@ -86,6 +96,7 @@
             read_names(info),
             read_ceilings(info),
             read_admin(told),
+            read_peers(told, info),
             read_inherited(),
         )
     except (SettingError, ListError, ValueError) as problem:
@@ -100,6 +111,23 @@
     return None if named is None else read_endpoint(named)
 
 
+def read_peers(told: Json, info: Json) -> Peering | None:
+    """The other routers; None where there are none, or the settings do not allow a word with them."""
+    ceilings = info.get("ceilings")
+    allowed = isinstance(ceilings, dict) and ceilings.get("mayTell") is True
+    if not allowed or not told.get("peer_listen") or not told.get("peers_all"):
+        return None
+    listed = told.get("peers")
+    if not isinstance(listed, list):
+        raise ListError("peers is no list")
+    peers = [read_endpoint(one) for one in listed]
+    return (
+        Peering(read_endpoint(told["peer_listen"]), peers, read_endpoint(told["peers_all"]))
+        if len(peers) > 1
+        else None
+    )
+
+
 def read_inherited() -> int | None:
     """The descriptor of a listening socket that every process of this router inherits."""
     named = os.environ.get("BALANCER_SOCKET_FD")
--- a/rainhitch/node/driver.py
+++ b/rainhitch/node/driver.py
@@ -74,6 +74,7 @@
         self.held_bytes = 0
         self.tally = Tally([str(n) for n in range(len(balancer.settings.classes))])
         self.watch: Callable[[], None] = lambda: None
+        self.tell_peers: Callable[[list[api.Seen]], None] = lambda seen: None
         self.stop_at = 0  # when all must be answered, once the router is told to stop
         self._events: deque[api.Event] = deque()
         self._playing = False
@@ -130,6 +131,9 @@
     def members(self, event: api.Members) -> None:
         self._tell(event)
 
+    def heard(self, event: api.Heard) -> None:
+        self._tell(event)
+
     def stop(self, by: float) -> None:
         """Nothing is held for longer than these seconds from now."""
         self.stop_at = self.now() + int(by * SECOND)
@@ -191,6 +195,8 @@
                     self._forget(held)
             case api.Wake():
                 self.loop.call_later(action.delay / SECOND, self._tell, api.Alarm(action.token))
+            case api.Tell():
+                self.tell_peers(action.seen)
             case api.Watch():
                 self.watch()
             case api.Log():
--- a/rainhitch/node/service.py
+++ b/rainhitch/node/service.py
@@ -7,7 +7,13 @@
 
 from rainhitch.admin.figures import Tally
 from rainhitch.node.clients import Clients
-from rainhitch.node.configuration import Configuration, ConfigurationError, read_configuration, read_gate
+from rainhitch.node.configuration import (
+    Configuration,
+    ConfigurationError,
+    Peering,
+    read_configuration,
+    read_gate,
+)
 from rainhitch.node.discovery import Directory, ListError, Watch
 from rainhitch.node.driver import Driver
 from rainhitch.node.pool import Pools
@@ -16,6 +22,7 @@
 
 if TYPE_CHECKING:
     from rainhitch.admin.house import House
+    from rainhitch.fleet.peers import Peers
     from rainhitch.membership.etcd import Source
     from rainhitch.operator import Membership, Operator
 
@@ -23,6 +30,7 @@
 ALL_ANSWERED = 2.2  # s after SIGTERM by which all has its answer
 GONE_BY = 2.4  # s after SIGTERM at which the router ends, whatever a slow reader has not read
 PROGRAM = 24 << 20  # bytes that the router takes with next to nothing to do
+TELL_EVERY = 1_000_000_000  # ns between words with the other routers
 SPARE = 24  # descriptors for all that is neither a client's nor a server's
 SOON = 16  # connections to servers that may be wanted before clients have made room
 log = logging.getLogger("rainhitch")
@@ -58,6 +66,7 @@
             self.etcd = etcd_source(operator.membership, self.directory, told)
             self.driver.watch = self.etcd.start
         self.house: House | None = None
+        self.peers: Peers | None = None
         self.clients.can_serve = self.can_serve
 
     def can_serve(self) -> bool:
@@ -67,6 +76,8 @@
     async def start(self) -> None:
         """Takes up the known list and listens; raises ConfigurationError where it can't."""
         told = self.told
+        if told.peers is not None:
+            await self._join(told.peers)
         try:
             self.directory.take(told.known, cached=True)
         except ListError as problem:
@@ -90,6 +101,15 @@
         elif not told.settings.must_ask:
             self.watch.start()
 
+    async def _join(self, told: Peering) -> None:
+        """Exchanges advice with the other routers from now on; imported only where there are some."""
+        from rainhitch.fleet.peers import Peers, join
+
+        peers = Peers(told.peers, told.everyone, lambda: self.directory.targets, self.driver.heard)
+        if await join(told.listen, peers):
+            self.peers, self.driver.tell_peers = peers, peers.send
+            self.told.settings.tell_every = TELL_EVERY
+
     def reread(self, path: str | None) -> None:
         """Takes up a new configuration: the watch moves to its discovery, all else runs on as it is. Guards
         against a file that is bad or half written: the router keeps to what it has."""
@@ -123,6 +143,8 @@
         if self.house is not None:
             self.house.close()
         self.watch.stop()
+        if self.peers is not None:
+            self.peers.close()
         if self.etcd is not None:
             self.etcd.stop()
 
--- a/rainhitch/policy/balancer.py
+++ b/rainhitch/policy/balancer.py
@@ -39,6 +39,7 @@
             api.Members: self._on_members,
             api.Withdrawn: self._on_withdrawn,
             api.Voided: self._on_voided,
+            api.Heard: self.fleet.heard,
         }
 
     def handle(self, now: int, event: api.Event) -> list[api.Action]:
@@ -47,6 +48,7 @@
         turn.now, turn.actions = now, []
         if self.gate.monitor.born < 0:
             self.gate.start()
+            self.fleet.start_telling()
             if self.damper is not None:
                 turn.later(self.damper.period, self._watch_storms)
         handler = self.handlers.get(type(event))
@@ -168,8 +170,10 @@
             if not job.made and not job.at_origin and server.share >= 1:
                 # Guards against a connection that fell silent: an answer far later than is usual here is not
                 # waited for. The wait grows with the server's answer times, and at one that was slow lately
-                # it is the whole, so that a jam is not fed.
-                timeout = min(timeout, max(job.spec.aim // 4, int(PATIENCE * server.predict())))
+                # it is the whole, so that a jam is not fed. Nor do two quick answers prove a quick server:
+                # what is usual in the whole fleet is waited for.
+                usual = max(server.predict(), self.fleet.usual)
+                timeout = min(timeout, max(job.spec.aim // 4, int(PATIENCE * usual)))
         server.out += 1
         server.sent_at = self.turn.now
         job.live[job.made] = (server.member, self.turn.now)
--- a/rainhitch/policy/placement.py
+++ b/rainhitch/policy/placement.py
@@ -32,7 +32,9 @@
         self.total += 1
         before = self.seen.get(key, 0) * servers
         self.seen[key] = self.seen.get(key, 0) + 1
-        return 2 * before // self.total if before >= self.total else 0  # a server bears about two
+        # Guards against a router that sees few: among a handful of requests each that comes twice looks hot.
+        among = max(self.total, SAMPLES * servers // 2)
+        return 2 * before // among if before >= among else 0  # a server bears about two
 
 
 class KeyMemory:
--- a/rainhitch/policy/servers.py
+++ b/rainhitch/policy/servers.py
@@ -54,7 +54,7 @@
         # Guards quick servers: a few times next to nothing is no crowd.
         if own <= min(limit, crowd * max(self.base or limit, limit / 16)) and reported <= limit * crowd / 2:
             return True
-        pace = self.load.latency_ms * 1e6 * routers if self.load is not None else 0.0
+        pace = (self.load.latency_ms * 1e6 if self.load is not None else self.base) * routers
         if self.out or now - self.sent_at < max(own, reported, pace):
             return False
         self.trial = True
@@ -89,8 +89,10 @@
         self.turn = turn
         self.servers: dict[str, Server] = {}
         self.origin: Server | None = None
+        self.usual = turn.shortest_aim / 8  # moving average of answer times, ns, over all cache servers
         self.crowded = 0.0  # part of the latest new connects that were refused at once
         self.asks = 0
+        self.seen: dict[str, api.Seen] = {}  # since the other routers were last told
 
     def take(self, event: api.Members) -> list[str] | None:
         """Takes up news of the list; gives the sorted ids of the ready cache servers, None if it failed."""
@@ -119,6 +121,35 @@
         self.origin = next((server for server in ready if server.member.kind == origin_kind), None)
         return sorted(server.member.server for server in caches)
 
+    def start_telling(self) -> None:
+        if self.turn.settings.tell_every:
+            self.turn.later(int(self.turn.settings.tell_every * self.turn.random.random()), self._tell)
+
+    def _count(self, name: str, elapsed: int) -> None:
+        """Keeps an answer time for the other routers."""
+        if self.turn.settings.tell_every and self.servers[name] is not self.origin:
+            told = self.seen.setdefault(name, api.Seen(name, 0, 0))
+            told.answers += 1
+            told.elapsed += (elapsed - told.elapsed) // told.answers
+
+    def _tell(self, _: Job | None) -> None:
+        """Guards against a fleet in which each router sees a server seldom, and all of them learn late."""
+        if self.seen:
+            self.turn.actions.append(api.Tell(list(self.seen.values())))
+            self.seen = {}
+        self.turn.later(int(self.turn.settings.tell_every * self.turn.random.uniform(0.75, 1.25)), self._tell)
+
+    def heard(self, event: api.Heard) -> None:
+        """Takes up what another router has seen, as if its answers were this one's."""
+        for one in event.seen:
+            server = self.servers.get(one.server)
+            if server is not None and server is not self.origin:
+                weight = 1 - (1 - SMOOTHING) ** one.answers
+                server.latency += (one.elapsed - server.latency) * weight
+                server.learned_at = self.turn.now
+                server.base = min(server.base * (1 + SMOOTHING / 16) or server.latency, server.latency)
+                server.bear(self.turn.now, one.elapsed, one.elapsed > self.turn.shortest_aim // 2)
+
     def avoided(self) -> set[str]:
         """Who is tried with one attempt at a time at most, since connections there fail."""
         return {name for name, server in self.servers.items() if server.fails}
@@ -181,6 +212,7 @@
         elapsed = self.turn.shortest_aim if full else event.elapsed  # a quick "full" proves no quick server
         answered, sent = status in (api.Status.OK, api.Status.MISS), self.turn.now - event.elapsed
         if answered:
+            self.usual += (event.elapsed - self.usual) * SMOOTHING * (server is not self.origin)
             server.proved_at, server.answered_at = max(server.proved_at, sent), self.turn.now
         # Guards against one connection that fell silent taken for a swamped server: who has answered what
         # was sent later is none. Nor does a time-out tell of an answer time below what was waited.
@@ -188,5 +220,6 @@
         silent = status is api.Status.TIMEOUT and not lone
         if full or silent or status is api.Status.OK or (missed and server.trial):
             server.learn(self.turn.now, 2 * self.turn.shortest_aim, elapsed, server.out + 1)
+            self._count(event.server, elapsed)
         if full or silent or answered:
             server.bear(self.turn.now, event.elapsed, elapsed > self.turn.shortest_aim // 2)
--- a/tests/policy/test_balancer.py
+++ b/tests/policy/test_balancer.py
@@ -266,6 +266,27 @@
     assert one.latency < 0.6 * SECOND, "a trial's answer counts for half"
 
 
+def test_trials_of_a_swamped_server_add_up_over_all_routers() -> None:
+    """Forty routers with one trial an answer time each were more than a server's whole work."""
+    one = Server(api.Member("c"), float(SECOND), base=SECOND / 10)
+    assert not one.calm(2 * SECOND, SECOND / 4, 4, 40)
+    assert one.calm(4 * SECOND, SECOND / 4, 4, 40)
+
+
+def test_a_first_answer_is_waited_for_by_what_is_usual_in_the_fleet() -> None:
+    """Two quick answers of a server made a router give up on the third, and read the key elsewhere."""
+    waits = []
+    for usual in (SECOND // 100, SECOND // 10):
+        router = Router()
+        for server in router.balancer.fleet.servers.values():
+            server.latency = SECOND / 100
+        router.balancer.fleet.usual = usual
+        (first,) = router.ask("k")[1]
+        assert isinstance(first, api.Send)
+        waits.append(first.timeout)
+    assert waits == [SECOND // 4, 8 * SECOND // 10]
+
+
 def test_reports_show_what_other_routers_send() -> None:
     router = Router()
     router.serve("k")
--- a/tests/policy/test_found.py
+++ b/tests/policy/test_found.py
@@ -257,3 +257,10 @@
         monitor.note(n % 12 != 0, n * SECOND // 2)
         monitor.step(n * SECOND // 2, False)
     assert monitor.throttle is None
+
+
+def test_few_requests_make_no_key_hot() -> None:
+    """Among a restarted router's first requests, each key that came twice was spread over a dozen servers."""
+    popular = Popularity()
+    assert [popular.fills("k", 60) for _ in range(3)] == [0, 0, 0]
+    assert max(popular.fills("k", 60) for _ in range(30)) > 2, "one that all ask for is hot all the same"
