Forty routers ask discovery less, and cold servers get their part from their start

A watch held 5 s is harmless alone and 8 calls a second from 40; a call given up after 2 s that discovery would have answered is done for nothing; restarted routers ask together and whoever waits past the first few fails (discovery.py, _run and _call; servers.py, take).

--- a/rainhitch/node/service.py
+++ b/rainhitch/node/service.py
@@ -59,7 +59,8 @@
         self.directory = Directory(told.names, origin_kind, self.pools, self.driver.members)
         if operator is not None:
             heed(operator, self.clients, self.directory)
-        self.watch = Watch(told.discovery, self.directory, told.seed, told.settings.must_ask)
+        settings = told.settings
+        self.watch = Watch(told.discovery, self.directory, told.seed, settings.must_ask, settings.balancers)
         self.etcd: Source | None = None
         self.driver.watch = self.watch.start
         if operator is not None and operator.membership.source == "etcd":
--- a/rainhitch/policy/placement.py
+++ b/rainhitch/policy/placement.py
@@ -160,13 +160,14 @@
             near.sort(key=lambda server: not server.linked)
         for server in near:
             name = server.member.server
-            # Rule 4: a server that warms up takes up its own range key by key, at an instant its hash gives.
-            warmed = self.turn.now - self.turn.settings.ramp_time * (instant if name == owner else 1)
-            if name in job.tried or server.cold_since > max(0, warmed):
+            # Rule 4: a server that warms up takes up its own range key by key, at an instant its hash gives,
+            # as its capacity grows from the part that it is said to start with.
+            part = server.warmth(self.turn.now, self.turn.settings)
+            if name in job.tried or part < (instant if name == owner else 1):
                 continue
-            if 0 < server.cold_since > self.turn.now - self.turn.settings.ramp_time:
-                # Guards against hot keys that a warming server takes up: it gets half the mean flow at most.
-                rate = self.flow.per_second(self.turn.now) / len(near) / 2
+            if part < 1:
+                # Guards against hot keys that a warming server takes up: it gets its part of the mean flow.
+                rate = self.flow.per_second(self.turn.now) / len(near) * part
                 if not server.budget.take(
                     self.turn.now, rate, rate * self.turn.settings.fall_time / SECOND / 4
                 ):
--- a/rainhitch/policy/servers.py
+++ b/rainhitch/policy/servers.py
@@ -39,6 +39,14 @@
         """The answer time to expect of one more request, if it grows with what this router has out."""
         return self.latency * (self.out + 1) / self.held
 
+    def warmth(self, now: int, settings: api.Settings) -> float:
+        """The part of its capacity that it has by now at least, if it started lately."""
+        if self.cold_since <= max(0, now - settings.ramp_time):
+            return 1.0
+        return (
+            settings.cold_from + (1 - settings.cold_from) * max(0, now - self.cold_since) / settings.ramp_time
+        )
+
     def reported(self, now: int) -> float:
         """The same by the server's last report, while that is fresh: it tells what other routers send."""
         load = self.load
@@ -98,7 +106,9 @@
         """Takes up news of the list; gives the sorted ids of the ready cache servers, None if it failed."""
         if event.kind is api.ListKind.FAILED:
             self.asks = min(self.asks + 1, 8)
-            wait = min(SECOND << self.asks, self.turn.settings.ask_within) * self.turn.random.uniform(0.5, 1)
+            # Guards a discovery that is one service for all: the more routers, the longer they stay away.
+            first, most = SECOND * max(1, self.turn.settings.balancers // 8), self.turn.settings.ask_within
+            wait = min(first << self.asks, 2 * most) * self.turn.random.uniform(0.25, 1)
             self.turn.actions.append(api.Log(f"list unavailable, asked again in {wait / 1e6:.0f} ms"))
             self.turn.later(int(wait), self._ask)
             return None
--- a/tests/policy/test_balancer.py
+++ b/tests/policy/test_balancer.py
@@ -331,6 +331,23 @@
     assert quarters[0] > 4 and min(quarters[1:]) > 12  # the budget of half the mean flow may bind
 
 
+@pytest.mark.parametrize(("instant", "after"), [(0.25, 0.1), (0.45, 2.5), (0.9, 9.0)])
+def test_a_cold_server_is_used_from_its_start_by_the_part_that_it_starts_with(
+    instant: float, after: float
+) -> None:
+    """Six in ten servers new within 7 s left all the work to the other four, as if these began from nothing."""
+    for wait, taken in ((after, True), (after - 2, False)):
+        router = Router(settings(cold_from=0.3))
+        router.tell(api.Members(api.ListKind.DELTA, [api.Member("c1", since=START)]))
+        located = {f"k{n}": router.balancer.placement.ranges.locate(f"k{n}") for n in range(4000)}
+        key = next(
+            key for key, (_, at, names) in located.items() if names[0] == "c1" and abs(at - instant) < 0.02
+        )
+        if wait > 0:
+            router.wait(int(wait * SECOND))
+            assert (sends(router.ask(key)[1]) == ["c1"]) is taken
+
+
 def test_a_server_listed_with_a_newer_start_is_cold_again() -> None:
     router = Router()
     for _ in range(2):
@@ -595,6 +612,18 @@
     assert router.wait(60 * SECOND) == []
 
 
+def test_the_more_routers_the_longer_each_stays_away_from_a_discovery_that_failed() -> None:
+    asked = []
+    for routers in (3, 40):
+        router = Router(settings(must_ask=True, balancers=routers))
+        router.tell(api.Members(api.ListKind.FAILED, []))
+        start = router.now
+        while not any(isinstance(action, api.Watch) for action in router.wait(SECOND // 10)):
+            pass
+        asked.append(router.now - start)
+    assert asked[0] <= 2.1 * SECOND < asked[1] <= 10.1 * SECOND
+
+
 def test_a_restart_asks_at_once_and_keeps_the_restored_list() -> None:
     router = Router(settings(must_ask=True), [])
     actions = router.tell(api.Members(api.ListKind.CACHED, fleet()))
