--- a/tests/policy/test_balancer.py
+++ b/tests/policy/test_balancer.py
@@ -335,7 +335,7 @@
 def test_a_cold_server_is_used_from_its_start_by_the_part_that_it_starts_with(
     instant: float, after: float
 ) -> None:
-    """Six in ten servers new within 7 s left all the work to the other four, as if these began from nothing."""
+    """Six in ten servers new within 7 s left all the work to the others, as if they began from nothing."""
     for wait, taken in ((after, True), (after - 2, False)):
         router = Router(settings(cold_from=0.3))
         router.tell(api.Members(api.ListKind.DELTA, [api.Member("c1", since=START)]))
