--- a/rainhitch/node/discovery.py
+++ b/rainhitch/node/discovery.py
@@ -16,13 +16,8 @@
 from rainhitch.protocol.http1 import Answer, Http, HttpError
 from rainhitch.settings import Json, Names
 
-HOLD, MOST_HOLD = 5.0, 30.0  # s that a watch may be held; one that is silent for longer has failed
-CALL = 0.05  # s that discovery takes for a call where it is one service for all routers, and has to spare
-SAME_WATCH = 0.2  # s after an answer in which the next call goes on with the watch
+HOLD = 5.0  # s that a watch may be held; one that is silent for longer has failed
 PATIENCE = 2.0  # s for an answer that need not wait
-IN_TURN = (
-    8.0  # the same where discovery is one service, which works through calls in turn and ends those too late
-)
 FIRST_PAUSE, MOST_PAUSE = 0.05, 1.0  # s between failed calls
 MOST_LIST = 1 << 20  # bytes; memory is small, and an entry has some 150
 STATES = {
@@ -216,14 +211,8 @@
 class Watch:
     """Asks discovery for the list and then for what changes, one call right after the other."""
 
-    def __init__(
-        self, endpoint: Endpoint, directory: Directory, seed: int, must_ask: bool, routers: int = 1
-    ) -> None:
+    def __init__(self, endpoint: Endpoint, directory: Directory, seed: int, must_ask: bool) -> None:
         self.endpoint, self.directory, self.must_ask = endpoint, directory, must_ask
-        # Guards a discovery that all routers ask: what each may call is a part of what it can answer. One
-        # that is pushed its lists stands on this router's machine, and answers this router alone.
-        self.hold = max(HOLD, min(routers, MOST_HOLD)) if must_ask else HOLD
-        self.rest = max(0.0, routers * CALL - SAME_WATCH) if must_ask else 0.0
         self.random = random.Random(seed)
         self.line: _Line | None = None
         self.task: asyncio.Task[None] | None = None
@@ -256,28 +245,17 @@
             self.line.close()
 
     async def _run(self) -> None:
-        # Guards discovery against whole lists that all routers ask for when it is short of time: what has
-        # changed since the list that is held is less, and names all that is missing from it.
-        pause, whole = FIRST_PAUSE, not self.must_ask or not self.directory.targets or self.directory.moved
-        # Guards against routers that start together and ask together: those behind the first few in line wait
-        # too long, and what discovery did for them is lost.
-        await asyncio.sleep(2 * self.rest * self.random.random())
+        pause, whole = FIRST_PAUSE, True
         while True:
             try:
                 await self._call(whole)
                 pause, whole = FIRST_PAUSE, False
-                if self.rest:
-                    await asyncio.sleep(self.rest * self.random.uniform(0.75, 1.25))
                 continue
-            except (ListError, orjson.JSONDecodeError) as problem:
-                whole = True
-                log.warning("discovery's answer is of no use: %s: %s", type(problem).__name__, problem)
-            except (OSError, TimeoutError, HttpError) as problem:
-                whole = not self.must_ask
+            except (OSError, TimeoutError, HttpError, ListError, orjson.JSONDecodeError) as problem:
                 log.warning("discovery did not answer: %s: %s", type(problem).__name__, problem)
             except Exception:
-                whole = True
                 log.exception("an answer of discovery could not be taken up")
+            whole = True
             if self.line is not None:
                 self.line.close()
             if self.must_ask:
@@ -289,10 +267,10 @@
             pause = min(2 * pause, MOST_PAUSE)
 
     async def _call(self, whole: bool) -> None:
-        target, patience = "/api/targets", IN_TURN if self.must_ask else PATIENCE
+        target, patience = "/api/targets", PATIENCE
         if not whole:
-            target += f"?from={self.directory.rev}&hold_ms={int(self.hold * 1000)}"
-            patience += self.hold
+            target += f"?from={self.directory.rev}&hold_ms={int(HOLD * 1000)}"
+            patience += HOLD
         async with asyncio.timeout(patience):
             line = await self._connected()
             answer = await line.get(target)
--- a/rainhitch/node/service.py
+++ b/rainhitch/node/service.py
@@ -59,8 +59,7 @@
         self.directory = Directory(told.names, origin_kind, self.pools, self.driver.members)
         if operator is not None:
             heed(operator, self.clients, self.directory)
-        settings = told.settings
-        self.watch = Watch(told.discovery, self.directory, told.seed, settings.must_ask, settings.balancers)
+        self.watch = Watch(told.discovery, self.directory, told.seed, told.settings.must_ask)
         self.etcd: Source | None = None
         self.driver.watch = self.watch.start
         if operator is not None and operator.membership.source == "etcd":
--- a/rainhitch/policy/servers.py
+++ b/rainhitch/policy/servers.py
@@ -106,9 +106,7 @@
         """Takes up news of the list; gives the sorted ids of the ready cache servers, None if it failed."""
         if event.kind is api.ListKind.FAILED:
             self.asks = min(self.asks + 1, 8)
-            # Guards a discovery that is one service for all: the more routers, the longer they stay away.
-            first, most = SECOND * max(1, self.turn.settings.balancers // 8), self.turn.settings.ask_within
-            wait = min(first << self.asks, 2 * most) * self.turn.random.uniform(0.25, 1)
+            wait = min(SECOND << self.asks, self.turn.settings.ask_within) * self.turn.random.uniform(0.5, 1)
             self.turn.actions.append(api.Log(f"list unavailable, asked again in {wait / 1e6:.0f} ms"))
             self.turn.later(int(wait), self._ask)
             return None
