One piece of code takes up an answer time; names are hashed when the list changes

Fleet.heard wrote the body of Server.learn again: both now call Server.take_up. No decision changes.

--- a/rainhitch/fleet/peers.py
+++ b/rainhitch/fleet/peers.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Iterable
 from typing import cast
 
 from rainhitch import interface as api
@@ -13,19 +13,18 @@
 
 
 class Peers(asyncio.DatagramProtocol):
-    """This router's end. `names` gives the listed servers and `tell` takes what was heard of them."""
+    """This router's end. `tell` takes what was heard of the listed servers."""
 
     def __init__(
         self,
         peers: Iterable[Endpoint],
         everyone: Endpoint,
-        names: Callable[[], Collection[str]],
         tell: Callable[[api.Heard], None],
     ) -> None:
         self.peers, self.everyone = frozenset(peers), everyone
-        self.names, self.tell = names, tell
+        self.tell = tell
         self.transport: asyncio.DatagramTransport | None = None
-        self.known: dict[int, str] = {}
+        self.known: dict[int, str] = {}  # the listed servers, by the hash that stands for them
         self.unread = 0  # datagrams that could not be read, or came from no peer
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -36,9 +35,6 @@
         if (addr[0], addr[1]) not in self.peers:
             self.unread += 1
             return
-        names = self.names()
-        if len(names) != len(self.known) or any(name not in names for name in self.known.values()):
-            self.known = hashes(names)
         try:
             seen = decode(data, self.known)
         except AdviceError:
@@ -47,6 +43,10 @@
         if seen:
             self.tell(api.Heard(seen))
 
+    def listed(self, names: Iterable[str]) -> None:
+        """The list has changed."""
+        self.known = hashes(names)
+
     def error_received(self, exc: Exception) -> None:
         """A peer that is down refuses a datagram: that is nothing to this one."""
 
--- a/rainhitch/node/configuration.py
+++ b/rainhitch/node/configuration.py
@@ -54,7 +54,7 @@
     names: Names
     ceilings: Ceilings
     admin: Endpoint | None = None  # the second address
-    peers: "Peering | None" = None  # the other routers, where they may be told
+    peers: Peering | None = None  # the other routers, where they may be told
     inherited: int | None = None  # descriptor of the clients' listening socket, where the platform holds it
 
 
@@ -121,11 +121,9 @@
     if not isinstance(listed, list):
         raise ListError("peers is no list")
     peers = [read_endpoint(one) for one in listed]
-    return (
-        Peering(read_endpoint(told["peer_listen"]), peers, read_endpoint(told["peers_all"]))
-        if len(peers) > 1
-        else None
-    )
+    if len(peers) < 2:
+        return None
+    return Peering(read_endpoint(told["peer_listen"]), peers, read_endpoint(told["peers_all"]))
 
 
 def read_inherited() -> int | None:
--- a/rainhitch/node/service.py
+++ b/rainhitch/node/service.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from rainhitch.admin.figures import Tally
+from rainhitch.interface import Members
 from rainhitch.node.clients import Clients
 from rainhitch.node.configuration import (
     Configuration,
@@ -105,10 +106,14 @@
         """Exchanges advice with the other routers from now on; imported only where there are some."""
         from rainhitch.fleet.peers import Peers, join
 
-        peers = Peers(told.peers, told.everyone, lambda: self.directory.targets, self.driver.heard)
+        def changed(event: Members) -> None:
+            peers.listed(self.directory.targets)
+            self.driver.members(event)
+
+        peers = Peers(told.peers, told.everyone, self.driver.heard)
         if await join(told.listen, peers):
             self.peers, self.driver.tell_peers = peers, peers.send
-            self.told.settings.tell_every = TELL_EVERY
+            self.told.settings.tell_every, self.directory.tell = TELL_EVERY, changed
 
     def reread(self, path: str | None) -> None:
         """Takes up a new configuration: the watch moves to its discovery, all else runs on as it is. Guards
--- a/rainhitch/policy/servers.py
+++ b/rainhitch/policy/servers.py
@@ -71,11 +71,15 @@
     def learn(self, now: int, span: int, elapsed: int, out: int) -> None:
         # Guards against a fleet so wide that answers come seldom: each counts for the time since the last.
         weight = 1 / 2 if self.trial else min(max((now - self.learned_at) / span, SMOOTHING), 1 / 2)
+        self.held += (out - self.held) * SMOOTHING
+        self.take_up(now, elapsed, weight)
+        self.trial = False
+
+    def take_up(self, now: int, elapsed: int, weight: float) -> None:
+        """An answer time, whoever saw it."""
         self.learned_at = now
         self.latency += (elapsed - self.latency) * weight
-        self.held += (out - self.held) * SMOOTHING
         self.base = min(self.base * (1 + SMOOTHING / 16) or self.latency, self.latency)
-        self.trial = False
 
     def bear(self, now: int, elapsed: int, slow: bool) -> None:
         """A slow answer cuts the share of its range by a quarter, once a jam; a quick one adds a part."""
@@ -133,9 +137,10 @@
         if self.turn.settings.tell_every:
             self.turn.later(int(self.turn.settings.tell_every * self.turn.random.random()), self._tell)
 
-    def _count(self, name: str, elapsed: int) -> None:
+    def _count(self, server: Server, elapsed: int) -> None:
         """Keeps an answer time for the other routers."""
-        if self.turn.settings.tell_every and self.servers[name] is not self.origin:
+        if self.turn.settings.tell_every and server is not self.origin:
+            name = server.member.server
             told = self.seen.setdefault(name, api.Seen(name, 0, 0))
             told.answers += 1
             told.elapsed += (elapsed - told.elapsed) // told.answers
@@ -152,10 +157,7 @@
         for one in event.seen:
             server = self.servers.get(one.server)
             if server is not None and server is not self.origin:
-                weight = 1 - (1 - SMOOTHING) ** one.answers
-                server.latency += (one.elapsed - server.latency) * weight
-                server.learned_at = self.turn.now
-                server.base = min(server.base * (1 + SMOOTHING / 16) or server.latency, server.latency)
+                server.take_up(self.turn.now, one.elapsed, 1 - (1 - SMOOTHING) ** one.answers)
                 server.bear(self.turn.now, one.elapsed, one.elapsed > self.turn.shortest_aim // 2)
 
     def avoided(self) -> set[str]:
@@ -228,6 +230,6 @@
         silent = status is api.Status.TIMEOUT and not lone
         if full or silent or status is api.Status.OK or (missed and server.trial):
             server.learn(self.turn.now, 2 * self.turn.shortest_aim, elapsed, server.out + 1)
-            self._count(event.server, elapsed)
+            self._count(server, elapsed)
         if full or silent or answered:
             server.bear(self.turn.now, event.elapsed, elapsed > self.turn.shortest_aim // 2)
--- a/tests/fleet/test_advice.py
+++ b/tests/fleet/test_advice.py
@@ -91,7 +91,8 @@
         stranger.bind(("127.0.0.1", 0))
         friend.settimeout(20)
         names = ["s-1"]
-        peers = Peers([friend.getsockname()], friend.getsockname(), lambda: names, heard.put_nowait)
+        peers = Peers([friend.getsockname()], friend.getsockname(), heard.put_nowait)
+        peers.listed(names)
         assert await join(("127.0.0.1", 0), peers)
         assert peers.transport is not None
         here = peers.transport.get_extra_info("sockname")
@@ -101,6 +102,7 @@
         friend.sendto(word, here)
         assert await asyncio.wait_for(heard.get(), 20) == api.Heard([api.Seen("s-1", 2, 40 * MILLI)])
         names.append("s-2")
+        peers.listed(names)
         friend.sendto(word, here)
         assert len((await asyncio.wait_for(heard.get(), 20)).seen) == 2, "the list has changed"
         assert peers.unread == 2 and heard.empty()
@@ -112,6 +114,6 @@
 async def test_a_port_that_is_taken_leaves_the_router_alone_but_running() -> None:
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as taken:
         taken.bind(("127.0.0.1", 0))
-        peers = Peers([], ("127.0.0.1", 9), list, lambda _: None)
+        peers = Peers([], ("127.0.0.1", 9), lambda _: None)
         assert not await join(taken.getsockname(), peers)
         peers.send([api.Seen("s-1", 1, SECOND)])
--- a/tests/policy/test_balancer.py
+++ b/tests/policy/test_balancer.py
@@ -328,7 +328,7 @@
     quarters = [sum(sent[n : n + 500]) for n in range(0, 2000, 500)]
     taken_up = [125 * (2 * n + 1) / 8 for n in range(4)]
     assert all(count < even + 25 for count, even in zip(quarters, taken_up, strict=True))
-    assert quarters[0] > 4 and min(quarters[1:]) > 12  # the budget of half the mean flow may bind
+    assert quarters[0] > 4 and min(quarters[1:]) > 12  # the budget of its part of the mean flow may bind
 
 
 @pytest.mark.parametrize(("instant", "after"), [(0.25, 0.1), (0.45, 2.5), (0.9, 9.0)])
