--- /dev/null
+++ b/tests/fleet/test_wired.py
@@ -0,0 +1,89 @@
+"""A router put together as the program does it, with another router's socket beside it."""
+
+import socket
+from functools import partial
+from typing import Any
+
+import pytest
+from peers import entry, info, soon
+from program import listing
+
+from rainhitch import interface as api
+from rainhitch.fleet.advice import decode, encode, hashes
+from rainhitch.node.configuration import ConfigurationError, configured
+from rainhitch.node.service import Service
+from rainhitch.policy.servers import Server
+
+
+def told(friend: socket.socket, **changes: Any) -> dict[str, Any]:
+    host, port = friend.getsockname()
+    address = f"{host}:{port}"
+    return {
+        "listen": "127.0.0.1:0",
+        "discovery": "127.0.0.1:1",
+        "settings": info(mayTell=True),
+        "known": listing(1, entry("c0", "127.0.0.1:1")),
+        "peer_listen": "127.0.0.1:0",
+        "peers": [address, "127.0.0.1:2"],
+        "peers_all": address,
+        **changes,
+    }
+
+
+@pytest.fixture
+def friend() -> Any:
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as one:
+        one.bind(("127.0.0.1", 0))
+        one.settimeout(20)
+        yield one
+
+
+def slower(server: Server, before: float) -> bool:
+    return server.latency > before
+
+
+async def test_a_router_takes_up_a_word_on_what_its_list_names_now_and_tells_its_own(
+    friend: socket.socket,
+) -> None:
+    service = Service(configured(told(friend), "test"))
+    await service.start()
+    try:
+        assert service.peers is not None and service.peers.transport is not None
+        here = service.peers.transport.get_extra_info("sockname")
+        service.directory.take(listing(2, entry("c1", "127.0.0.1:1"), whole=False))
+        for name in ("c0", "c1"):
+            server = service.balancer.fleet.servers[name]
+            before = server.latency
+            friend.sendto(encode([api.Seen(name, 1, 8_000_000_000)]), here)
+            await soon(partial(slower, server, before))
+        service.driver.tell_peers([api.Seen("c0", 2, 40_000_000)])
+        assert decode(friend.recv(512), hashes(["c0"])) == [api.Seen("c0", 2, 40_000_000)]
+        assert service.told.settings.tell_every > 0
+    finally:
+        service.watch.stop()
+        service.clients.close()
+        if service.peers is not None:
+            service.peers.close()
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"settings": info()},
+        {"settings": info(mayTell=False)},
+        {"peer_listen": None},
+        {"peers_all": ""},
+        {"peers": ["127.0.0.1:2"]},
+    ],
+)
+def test_where_there_is_nobody_to_tell_or_it_may_not_be_there_are_no_peers(
+    friend: socket.socket, changes: Any
+) -> None:
+    assert configured(told(friend), "test").peers is not None
+    assert configured(told(friend, **changes), "test").peers is None
+
+
+@pytest.mark.parametrize("peers", [None, "127.0.0.1:2", ["nowhere", "127.0.0.1:2"]])
+def test_peers_that_make_no_sense_end_the_start_with_a_plain_line(friend: socket.socket, peers: Any) -> None:
+    with pytest.raises(ConfigurationError, match="test: "):
+        configured(told(friend, peers=peers), "test")
