Routers write down each second what they did, and rainhitch logs adds it up over a fleet

Need: which decision refuses what, over 200 routers, could not be told; counts were taken by hand. Words between routers are played in virtual time (virtual/datagrams.py, a room of its own out of network.py) for up to 300 routers.

Cause: world/centre.py kept the routers' ports as text, so that each delivery ended in a TypeError, on real sockets as well: the kit's routers have been mute all along.

--- a/rainhitch/cli/rehearse.py
+++ b/rainhitch/cli/rehearse.py
@@ -13,6 +13,7 @@
 from rainhitch.cli import BAD_INPUT, INTERRUPTED, bad, virtual
 from rainhitch.tables import TableError
 
+MOST_REAL = 64  # routers as processes: their datagrams take a socket for each pair of them
 Json = dict[str, Any]
 
 
@@ -94,6 +95,9 @@
         for file in [told.json, told.records]:
             if file is not None:
                 _writable(file)
+        if day.fleet.routers > MOST_REAL:
+            many = f"fleet.routers = {day.fleet.routers}"
+            raise StageError(f"{many}: more than {MOST_REAL} play with --virtual")
         words = play.our_router()
         if told.router is not None:
             words = play.plain_router() if told.router == "plain" else command_of(told.router)
--- a/rainhitch/cli/virtual.py
+++ b/rainhitch/cli/virtual.py
@@ -18,6 +18,7 @@
         "--virtual", action="store_true", help="in one process, on simulated time: the same day each time"
     )
     group.add_argument("--trace", metavar="FILE", type=Path, help="write every event there")
+    group.add_argument("--logs", metavar="DIR", type=Path, help="keep each router's log there")
     group.add_argument(
         "--core",
         metavar="X",
@@ -31,7 +32,7 @@
 
 def asked(told: argparse.Namespace) -> bool:
     """Whether something was asked for that only a virtual day has."""
-    return any(getattr(told, name) is not None for name in ("trace", *BOUNDS))
+    return any(getattr(told, name) is not None for name in ("trace", "logs", *BOUNDS))
 
 
 def compare(one: Path, other: Path) -> int:
@@ -53,14 +54,14 @@
 def wrong(told: argparse.Namespace) -> str:
     """What is wrong with the options; "" for nothing."""
     if not told.virtual:
-        return "--trace, --core and --chop go with --virtual"
+        return "--trace, --logs, --core and --chop go with --virtual"
     if told.router is not None:
         return "--router: a virtual day plays this installation's router only"
     for name, (least, most) in BOUNDS.items():
         value = getattr(told, name)
         if value is not None and not least <= value <= most:
             return f"--{name} {value:g}: allowed is a number from {least:g} to {most:g}"
-    for file in [told.json, told.records, told.trace]:
+    for file in [told.json, told.records, told.trace, told.logs]:
         if file is not None and not file.absolute().parent.is_dir():
             return f"{file}: its folder does not exist"
     return ""
@@ -83,7 +84,7 @@
     tell, made = progress(day), []
     try:
         for _ in range(told.repeat):
-            made.append(play(day, path.stem, told.seed, tell, told.records, told.trace))
+            made.append(play(day, path.stem, told.seed, tell, told.records, told.trace, told.logs))
     except (StageError, StuckError) as problem:
         return bad(str(problem))
     except KeyboardInterrupt:
--- a/rainhitch/fleet/peers.py
+++ b/rainhitch/fleet/peers.py
@@ -7,6 +7,7 @@
 
 from rainhitch import interface as api
 from rainhitch.fleet.advice import AdviceError, decode, encode, hashes
+from rainhitch.logs.counts import Counts
 from rainhitch.node.pool import Endpoint
 
 log = logging.getLogger("rainhitch")
@@ -25,6 +26,7 @@
         self.tell = tell
         self.transport: asyncio.DatagramTransport | None = None
         self.known: dict[int, str] = {}  # the listed servers, by the hash that stands for them
+        self.counts = Counts()
         self.unread = 0  # datagrams that could not be read, or came from no peer
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -34,12 +36,15 @@
         """Guards the decisions against who is no peer and against what can't be read: counted, no more."""
         if (addr[0], addr[1]) not in self.peers:
             self.unread += 1
+            self.counts.add("words", "unread")
             return
         try:
             seen = decode(data, self.known)
         except AdviceError:
             self.unread += 1
+            self.counts.add("words", "unread")
             return
+        self.counts.add("words", "heard")
         if seen:
             self.tell(api.Heard(seen))
 
@@ -52,7 +57,10 @@
 
     def send(self, seen: list[api.Seen]) -> None:
         if self.transport is not None and not self.transport.is_closing():
-            self.transport.sendto(encode(seen), self.everyone)
+            data = encode(seen)
+            self.counts.add("words", "told")
+            self.counts.add("words", "bytes", len(data))
+            self.transport.sendto(data, self.everyone)
 
     def close(self) -> None:
         if self.transport is not None:
--- a/rainhitch/interface.py
+++ b/rainhitch/interface.py
@@ -235,10 +235,12 @@
 
 @dataclass(slots=True)
 class Refuse:
-    """Final answer: not done, a further try does no harm."""
+    """Final answer: not done, a further try does no harm. `why`: the decision that gave it up, for the log;
+    a "+" behind it: of work beyond its customer's share."""
 
     id: str
     retry_after: int = 0
+    why: str = field(default="", compare=False)
 
 
 @dataclass(slots=True)
@@ -246,6 +248,7 @@
     """Final answer: failed, perhaps done."""
 
     id: str
+    why: str = field(default="", compare=False)
 
 
 @dataclass(slots=True)
--- a/rainhitch/node/discovery.py
+++ b/rainhitch/node/discovery.py
@@ -10,6 +10,7 @@
 import orjson
 
 from rainhitch import interface as api
+from rainhitch.logs.counts import Counts
 from rainhitch.node.caches import CacheConnection
 from rainhitch.node.origin import OriginConnection
 from rainhitch.node.pool import Endpoint, Pools
@@ -217,6 +218,8 @@
         self.line: _Line | None = None
         self.task: asyncio.Task[None] | None = None
         self.stopped = False
+        self.counts = Counts()
+        self.answered_at = 0.0  # when it last did, by the loop's clock; 0: never
 
     def start(self) -> None:
         """Begins to watch; while a watch is on, it goes on."""
@@ -249,10 +252,13 @@
         while True:
             try:
                 await self._call(whole)
+                self.counts.add("calls", "ok")
+                self.answered_at = asyncio.get_running_loop().time()
                 pause, whole = FIRST_PAUSE, False
                 continue
             except (OSError, TimeoutError, HttpError, ListError, orjson.JSONDecodeError) as problem:
                 log.warning("discovery did not answer: %s: %s", type(problem).__name__, problem)
+                self.counts.add("calls", type(problem).__name__)
             except Exception:
                 log.exception("an answer of discovery could not be taken up")
             whole = True
--- a/rainhitch/node/driver.py
+++ b/rainhitch/node/driver.py
@@ -4,12 +4,13 @@
 import logging
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Protocol
 
 from rainhitch import interface as api
 from rainhitch import system
 from rainhitch.admin.figures import Tally
+from rainhitch.logs.counts import Counts
 from rainhitch.node.call import Call, Ending, Exchange
 from rainhitch.node.pool import Connection, Pool, Pools
 from rainhitch.node.relay import Relay, Source
@@ -60,6 +61,7 @@
     attempt: Attempt | None = None
     guard: asyncio.TimerHandle | None = None
     relay: Relay | None = None  # its long answer, while that is passed on
+    tries: list[tuple[str, api.Status]] = field(default_factory=list)  # where, and how they ended
 
 
 class Driver:
@@ -69,10 +71,11 @@
         self.balancer, self.pools = balancer, pools
         self.most_held, self.most_bytes = most_held, most_bytes  # requests, and the bytes of these
         self.loop = asyncio.get_running_loop()
-        self.now = system.of(self.loop).now
+        self.now, self.unix = system.of(self.loop).now, system.of(self.loop).unix
         self.held: dict[str, Held] = {}
         self.held_bytes = 0
         self.tally = Tally([str(n) for n in range(len(balancer.settings.classes))])
+        self.counts = Counts()
         self.watch: Callable[[], None] = lambda: None
         self.tell_peers: Callable[[list[api.Seen]], None] = lambda seen: None
         self.stop_at = 0  # when all must be answered, once the router is told to stop
@@ -89,6 +92,8 @@
             return None
         if len(self.held) >= self.most_held or self.held_bytes + call.size > self.most_bytes:
             self.tally.shed[call.cls] += 1
+            self.counts.taken += 1
+            self.counts.add("ended", "refused:room")
             place.fill(resp.refused(0))  # not begun, so that repeating is harmless
             return None
         now = self.now()
@@ -98,6 +103,7 @@
         held = self.held[name] = Held(name, call, place, until - WAY_BACK)
         self.held_bytes += call.size
         self.tally.active += 1
+        self.counts.taken += 1
         held.guard = self.loop.call_at((until - WAY_BACK // 2) / SECOND, self._overdue, held)
         key = call.key.decode("latin-1")
         write = call.value is not None
@@ -110,6 +116,7 @@
         """The client has left. Its attempt runs on: the connection stays of use."""
         if held.open:
             self._close(held)
+            self.counts.add("ended", "gone")
             self._tell(api.Withdrawn(held.id))
             self._forget(held)
 
@@ -146,7 +153,7 @@
     def _overdue(self, held: Held) -> None:
         """Guards rule 1 against a request that the decisions have lost: it fails in time all the same."""
         if held.open:
-            self._answer(held, resp.FAILED, self.tally.errors)
+            self._answer(held, resp.FAILED, self.tally.errors, "failed:overdue")
             self._tell(api.Withdrawn(held.id))
             self._forget(held)
 
@@ -189,9 +196,10 @@
                 held = self.held.get(action.id)
                 if held is not None and held.open:
                     if isinstance(action, api.Refuse):
-                        self._answer(held, resp.refused(-(-action.retry_after // MILLI)), self.tally.shed)
+                        come_back = resp.refused(-(-action.retry_after // MILLI))
+                        self._answer(held, come_back, self.tally.shed, f"refused:{action.why}")
                     else:
-                        self._answer(held, resp.FAILED, self.tally.errors)
+                        self._answer(held, resp.FAILED, self.tally.errors, f"failed:{action.why}")
                     self._forget(held)
             case api.Wake():
                 self.loop.call_later(action.delay / SECOND, self._tell, api.Alarm(action.token))
@@ -217,6 +225,9 @@
             self._outcome(attempt, Ending(api.Status.MOOT))
             return
         held.attempt = attempt
+        self.counts.add("sent", action.server)
+        if held.tries:
+            self.counts.add("again", held.tries[-1][1].value)
         attempt.timer = self.loop.call_later(wait / SECOND, self._timeout, attempt)
         exchange = Exchange(
             held.call,
@@ -244,7 +255,7 @@
         if ending.status is api.Status.OK and held.open:
             value = ending.value
             answer = resp.bulk(value) if isinstance(value, bytes) else held.place.form(value)
-            self._answer(held, answer, self.tally.ok)
+            self._answer(held, answer, self.tally.ok, "served")
         self._outcome(attempt, ending)
         self._forget(held)
 
@@ -267,19 +278,28 @@
         held.relay = None
         self.tally.active -= 1
         (self.tally.ok if whole else self.tally.errors)[held.call.cls] += 1
+        self.counts.add("ended", "served" if whole else "failed:cut off")
         self._forget(held)
 
     def _outcome(self, attempt: Attempt, ending: Ending) -> None:
         held, elapsed = attempt.held, self.now() - attempt.sent
+        held.tries.append((attempt.server, ending.status))
+        self.counts.add("tried", ending.status.value)
+        if ending.status not in (api.Status.OK, api.Status.MISS):
+            self.counts.add("poor", attempt.server)
         self._tell(
             api.Outcome(
                 held.id, attempt.number, attempt.server, ending.status, not held.open, elapsed, ending.note
             )
         )
 
-    def _answer(self, held: Held, answer: bytes, counts: list[int]) -> None:
+    def _answer(self, held: Held, answer: bytes, counts: list[int], how: str) -> None:
         self._close(held)
         counts[held.call.cls] += 1
+        self.counts.add("ended", how)
+        if held.tries and how != "served":
+            tries = [f"{server} {status.value}" for server, status in held.tries]
+            self.counts.bad(self.unix() / SECOND, held.id, how, tries)
         held.place.fill(answer)
 
     def _close(self, held: Held) -> None:
--- a/rainhitch/node/pool.py
+++ b/rainhitch/node/pool.py
@@ -9,6 +9,7 @@
 
 from rainhitch import system
 from rainhitch.interface import Status
+from rainhitch.logs.counts import Counts
 from rainhitch.node.call import Ending, Exchange
 from rainhitch.node.relay import Relay
 
@@ -124,6 +125,8 @@
         """The connection is gone or never came up."""
         self._break_relay()
         status = never_up if self.unsent else Status.RESET
+        if self.transport is None:
+            self.pool.pools.counts.add("links", "refused" if status is Status.CONNECT_FAILED else "no room")
         self.pool.drop(self)
         exchange, self.exchange = self.exchange, None
         if exchange is not None:
@@ -195,6 +198,7 @@
         connection = self.make(self)
         self.all[connection] = None
         self.pools.count += 1
+        self.pools.counts.add("links", "new")
         connection.exchange = exchange
         connection.since = asyncio.get_running_loop().time()
         connection.dialling = asyncio.get_running_loop().create_task(self._dial(connection))
@@ -275,6 +279,7 @@
         self.voided: Callable[[Pool, list[bytes] | None], None] = lambda pool, keys: None
         self.unknown_pushes = 0
         self.written = 0  # attempts written whole, since the start
+        self.counts = Counts()
 
     def hold_idle(self, seconds: float) -> None:
         """Sets for how long a connection may be idle; a server's keepalive bounds it."""
--- a/rainhitch/node/service.py
+++ b/rainhitch/node/service.py
@@ -5,8 +5,11 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
+import orjson
+
 from rainhitch.admin.figures import Tally
 from rainhitch.interface import Members
+from rainhitch.logs.records import WORDS, Bad, Second
 from rainhitch.node.clients import Clients
 from rainhitch.node.configuration import (
     Configuration,
@@ -34,6 +37,8 @@
 TELL_EVERY = 200_000_000  # ns between words with the other routers; each answer is told once
 SPARE = 24  # descriptors for all that is neither a client's nor a server's
 SOON = 16  # connections to servers that may be wanted before clients have made room
+RECORD_EVERY = 1.0  # s
+NAMES = {kind: word for word, kind in WORDS.items()}
 log = logging.getLogger("rainhitch")
 
 
@@ -69,6 +74,7 @@
         self.house: House | None = None
         self.peers: Peers | None = None
         self.clients.can_serve = self.can_serve
+        self.counts = self.pools.counts = self.watch.counts = self.driver.counts
 
     def can_serve(self) -> bool:
         """Whether PING says yes; while the router ends, its other process may have taken over."""
@@ -77,6 +83,7 @@
     async def start(self) -> None:
         """Takes up the known list and listens; raises ConfigurationError where it can't."""
         told = self.told
+        asyncio.get_running_loop().call_later(RECORD_EVERY, self._record)
         if told.peers is not None:
             await self._join(told.peers)
         try:
@@ -113,8 +120,24 @@
         peers = Peers(told.peers, told.everyone, self.driver.heard)
         if await join(told.listen, peers):
             self.peers, self.driver.tell_peers = peers, peers.send
+            peers.counts = self.counts
             self.told.settings.tell_every, self.directory.tell = TELL_EVERY, changed
 
+    def _record(self) -> None:
+        """Writes down what the last second brought."""
+        loop = asyncio.get_running_loop()
+        system, throttle = self.pools.system, self.balancer.gate.monitor.throttle
+        record = self.counts.cut(system.unix() / 1e9, system.cpu())
+        if record is not None:
+            record.open = self.pools.open()
+            record.rate = 0.0 if throttle is None else round(throttle.rate, 1)
+            if self.watch.answered_at:
+                record.list_age = round(loop.time() - self.watch.answered_at, 2)
+            write(record)
+        for bad in self.counts.cut_bad():
+            write(bad)
+        loop.call_later(RECORD_EVERY, self._record)
+
     def reread(self, path: str | None) -> None:
         """Takes up a new configuration: the watch moves to its discovery, all else runs on as it is. Guards
         against a file that is bad or half written: the router keeps to what it has."""
@@ -154,6 +177,11 @@
             self.etcd.stop()
 
 
+def write(record: Second | Bad) -> None:
+    """A line of the log that `rainhitch logs` reads."""
+    log.info("%s %s", NAMES[type(record)], orjson.dumps(record).decode())
+
+
 def heed(operator: "Operator", clients: Clients, directory: Directory) -> None:
     """Sets what the operator's file says."""
     driver, pools = clients.driver, directory.pools
--- a/rainhitch/policy/balancer.py
+++ b/rainhitch/policy/balancer.py
@@ -78,9 +78,9 @@
         verdict = api.Verdict.ADMIT if self.damper is None else self.damper.arrived(now, event, job.marked)
         self._inherit(job)
         if verdict is api.Verdict.REFUSE:
-            self._give_up(job)
+            self._give_up(job, "storm")
         elif verdict is api.Verdict.WAIT:
-            job.waits = True
+            job.waits, job.why = True, "order"
             self.turn.later(event.deadline - now, self._give_up, job)
         else:
             self._begin(job)
@@ -111,7 +111,7 @@
     def _begin(self, job: Job) -> None:
         event = job.request
         if job.live and not job.may_refuse(self.turn.now):
-            self._give_up(job)  # what may have run is no longer remembered anywhere
+            self._give_up(job, "order")  # what may have run is no longer remembered anywhere
         elif event.write and self.settings.aside:
             job.at_origin = True
             self._proceed(job)
@@ -128,6 +128,7 @@
         if waiting is None or self.turn.now >= job.due:
             return False
         waiting.append(job)
+        job.why = "fetch"
         self.turn.later(job.due - self.turn.now, self._give_up, job)
         return True
 
@@ -153,9 +154,14 @@
         server = self.fleet.origin if job.at_origin else self.placement.choose(job)
         # Guards against work that keeps a jammed origin jammed: the rule for swamped servers holds here too.
         limit, routers = job.spec.aim * SLOW, self.settings.balancers
-        jammed = job.at_origin and server and not server.calm(self.turn.now, limit, NO_CROWD, routers)
-        if server is None or jammed or not self._may_send(job, server) or not self._affords(job):
-            self._give_up(job)
+        if server is None:
+            self._give_up(job, "origin" if job.at_origin else "placement")
+        elif job.at_origin and not server.calm(self.turn.now, limit, NO_CROWD, routers):
+            self._give_up(job, "origin")
+        elif not self._may_send(job, server):
+            self._give_up(job, "attempts")
+        elif not self._affords(job):
+            self._give_up(job, "budget")
         else:
             self._send(job, server)
 
@@ -207,10 +213,11 @@
             return True
         return self.damper.may_send(self.turn.now, job.failed > 0)
 
-    def _give_up(self, job: Job | None) -> None:
+    def _give_up(self, job: Job | None, why: str = "") -> None:
         """The final answer of this router: a refusal where that is true, else a failure."""
         if job is None or job.out or self.jobs.get(job.request.id) is not job:
             return
+        job.why = why or job.why
         name, settings = job.request.id, self.settings
         if job.waits:
             self._inherit(job)
@@ -219,9 +226,9 @@
             later = min(self.turn.shortest_aim, settings.max_retry_after) if settings.retry_after else 0
             if self.damper is not None:
                 later = self.damper.come_back(self.turn.now, job.request)
-            self.turn.actions.append(api.Refuse(name, later))
+            self.turn.actions.append(api.Refuse(name, later, job.given_up()))
         else:
-            self.turn.actions.append(api.Fail(name))
+            self.turn.actions.append(api.Fail(name, job.given_up()))
         self._end(job, refused=refused)
 
     def _end(self, job: Job, served: bool = False, refused: bool = False) -> None:
@@ -289,7 +296,7 @@
             if key is not None and not job.request.write:
                 self._fetched(key, False)
         elif unfetched or late or (status is api.Status.FULL and (job.marked or job.made > 1)):
-            self._give_up(job)
+            self._give_up(job, "late" if late else status.value)
         else:
             self._proceed(job)
 
@@ -300,4 +307,4 @@
         if timely and self.fleet.origin and self._may_send(job, self.fleet.origin):
             self.turn.later(wait, self._proceed, job)
         else:
-            self._give_up(job)
+            self._give_up(job, "origin")
--- a/rainhitch/policy/gate.py
+++ b/rainhitch/policy/gate.py
@@ -55,9 +55,11 @@
             self.monitor.spent.add(self.turn.now)
             self.proceed(job)
         elif job.request.id in throttle.queue:
+            job.why = "buffer"
             self._plan_release(throttle)
             self.turn.later(job.due - self.turn.now, self.give_up, job)
         else:
+            job.why = "throttle"
             self.give_up(job)
 
     def _plan_release(self, throttle: Throttle) -> None:
--- a/rainhitch/policy/jobs.py
+++ b/rainhitch/policy/jobs.py
@@ -28,6 +28,11 @@
     out: set[int] = field(default_factory=set)
     tried: set[str] = field(default_factory=set)
     missed: str = ""  # the last server that lacked its key
+    why: str = "late"  # what it waits for, or which decision gave it up
+
+    def given_up(self) -> str:
+        """Which decision gave it up, as the log has it."""
+        return self.why + "+" * self.marked
 
     def may_repeat(self, to: api.Member, now: int) -> bool:
         """Rule 2: whether one more attempt may go there, by what the earlier ones proved."""
--- a/rainhitch/rehearsal/scenario.py
+++ b/rainhitch/rehearsal/scenario.py
@@ -45,7 +45,7 @@
 @dataclass(slots=True)
 class Fleet:
     rooms: list[str] = tables.texts(["neihu", "banqiao", "taoyuan"], "machine rooms")
-    routers: int = tables.whole(3, 1, 64, "dealt to the rooms in turn")
+    routers: int = tables.whole(3, 1, 300, "dealt to the rooms in turn; beyond 64 in virtual time only")
     first_port: int = tables.whole(0, 0, 65000, "of the routers, one after the other; 0: any that are free")
     nodes: list[NodeClass] = tables.tables(NodeClass, "the classes of cache nodes", _classes)
     memory_keys: int = tables.whole(300, 1, 1 << 20, "keys that a node holds; the least lately used go first")
--- a/rainhitch/rehearsal/virtual/costs.py
+++ b/rainhitch/rehearsal/virtual/costs.py
@@ -17,6 +17,7 @@
     "connect": (23.5, 0.62),
     "timer": (24.6, 0.89),
     "task": (28.4, 1.28),
+    "word": (33.0, 0.4),  # a datagram from another router: `python -m benchmarks.advice`, with what reads it
     "other": (7.1, 0.68),
 }
 
@@ -29,6 +30,8 @@
     name = getattr(callback, "__qualname__", type(callback).__name__)
     if name.endswith(("._deliver", "data_received")):
         return "data"
+    if name.endswith("._read_word"):
+        return "word"
     if name.endswith((".connection_made", "._accept_turn")):
         return "connect"
     return "task" if "Task" in name or "task" in name else "other"
--- a/rainhitch/rehearsal/virtual/loop.py
+++ b/rainhitch/rehearsal/virtual/loop.py
@@ -214,7 +214,12 @@
         return self.network.place(make)
 
     def datagram_socket(self) -> Any:
-        return self.network.datagram_socket()
+        return self.network.datagrams.socket()
+
+    async def create_datagram_endpoint(
+        self, protocol_factory: Any, local_addr: Any = None, remote_addr: Any = None, **more: Any
+    ) -> Any:
+        return self.network.datagrams.endpoint(protocol_factory, local_addr)
 
     def add_reader(self, fd: Any, callback: Any, *args: Any) -> None:  # type: ignore[override]
         """Calls when a datagram waits; nothing else here has a descriptor."""
--- a/rainhitch/rehearsal/virtual/machine.py
+++ b/rainhitch/rehearsal/virtual/machine.py
@@ -21,6 +21,10 @@
         owner = OWNER.get()
         return UNIX + self.now() - BEGIN + (0 if owner is None else owner.unix_jump)
 
+    def cpu(self) -> float:
+        owner = OWNER.get()
+        return 0.0 if owner is None else owner.worked / 1e9
+
     def door(self, host: str, port: int, inherited: int | None) -> Door:
         made: Door = self.loop.network.door(host, port)
         return made
--- a/rainhitch/rehearsal/virtual/network.py
+++ b/rainhitch/rehearsal/virtual/network.py
@@ -23,6 +23,7 @@
 from random import Random
 from typing import Any, cast
 
+from rainhitch.rehearsal.virtual.datagrams import Datagrams
 from rainhitch.rehearsal.virtual.loop import OWNER, Owner, VirtualLoop
 
 Address = tuple[str, int]
@@ -405,39 +406,6 @@
         self.door.close()
 
 
-class DatagramSocket:
-    """A bound socket for datagrams; what comes waits until it is read, 256 of them at most."""
-
-    def __init__(self, network: "Network") -> None:
-        self.network = network
-        self.address = "127.0.0.1", network.port()
-        self.waits: deque[tuple[bytes, Address]] = deque(maxlen=256)
-        self.reader: asyncio.Handle | None = None
-        network.datagrams[self.address] = self
-
-    def getsockname(self) -> Address:
-        return self.address
-
-    def sendto(self, data: bytes, address: Address) -> None:
-        self.network.loop.at(self.network.loop.clock + WAY, self._arrive, data, tuple(address))
-
-    def _arrive(self, data: bytes, address: Address) -> None:
-        there = self.network.datagrams.get(address)
-        if there is not None:
-            there.waits.append((data, self.address))
-            if there.reader is not None:
-                there.reader._run()
-
-    def recvfrom(self, most: int) -> tuple[bytes, Address]:
-        if not self.waits:
-            raise BlockingIOError
-        data, source = self.waits.popleft()
-        return data[:most], source
-
-    def close(self) -> None:
-        self.network.datagrams.pop(self.address, None)
-
-
 class Network:
     """All doors and connections of a day. `chop` is the part of writes that is cut at seeded places, `ways`
     from what to what the time of one way goes (ns)."""
@@ -454,7 +422,7 @@
         self.loop, self.chop, self.ways, self.window, self.byte_ps = loop, chop, ways, window, byte_ps
         self.random = Random(f"{seed}/network")
         self.doors: dict[Address, Door] = {}
-        self.datagrams: dict[Address, DatagramSocket] = {}
+        self.datagrams = Datagrams(loop, self.port, WAY)
         self.ports = 20_000
         self.held: dict[Owner, dict[End, None]] = {}
         self.limits: dict[Owner, int] = {}
@@ -474,9 +442,6 @@
     def place(self, make: Callable[[], Any]) -> Place:
         return Place(self, make)
 
-    def datagram_socket(self) -> DatagramSocket:
-        return DatagramSocket(self)
-
     def way(self, address: Address) -> int:
         """ns of one way on a new connection; those between the world's own parts are all alike."""
         first, last = self.ways
@@ -508,6 +473,7 @@
             end.die()
         for door in [one for one in self.doors.values() if one.owner is owner]:
             door.close()
+        self.datagrams.kill(owner)
 
     async def connect(self, factory: Callable[[], Any], address: Any) -> tuple[End, Any]:
         """As loop.create_connection."""
--- a/rainhitch/rehearsal/virtual/play.py
+++ b/rainhitch/rehearsal/virtual/play.py
@@ -22,6 +22,7 @@
     tell: Told = lambda at, row: None,
     records: Path | None = None,
     trace: Path | None = None,
+    logs: Path | None = None,
 ) -> Json:
     """Plays a day and gives its report, with `problems`: what callbacks ended with that should not have;
     the same bytes for the same arguments, wherever it is played. Raises as play_day does."""
@@ -32,6 +33,10 @@
         with trace.open("w", encoding="utf-8") as file:
             watch = Trace(file, name, seed, plan.digest())
             ledgers = play_day(scenario, plan, tell, watch)
+    if logs is not None:
+        logs.mkdir(exist_ok=True)
+        for router, lines in ledgers["logs"].items():
+            (logs / f"{router.replace(':', '-')}.log").write_text("\n".join(lines) + "\n", encoding="utf-8")
     ledgers["plan_digest"] = plan.digest()
     told, rows = orjson.loads(orjson.dumps(scenario)), plan.rows()
     if records is not None:
--- a/rainhitch/rehearsal/world/centre.py
+++ b/rainhitch/rehearsal/world/centre.py
@@ -119,7 +119,8 @@
                 self.agents.append(Agent(router, self.listed(router)))
             self.spawn(self.host(message["bus"]))
         elif "listens" in message:
-            self.datagrams.targets = {int(n): tuple(one) for n, one in message["listens"].items()}
+            listens = message["listens"].items()
+            self.datagrams.targets = {int(n): (host, int(port)) for n, (host, port) in listens}
 
     def nominal(self, name: str) -> float:
         """The speed of a core that the list's hint goes by: the middle of the class's range."""
--- a/rainhitch/system.py
+++ b/rainhitch/system.py
@@ -40,6 +40,9 @@
     def unix(self) -> int:
         """Unix nanoseconds, which may jump."""
 
+    def cpu(self) -> float:
+        """Seconds of CPU that this program has had."""
+
     def door(self, host: str, port: int, inherited: int | None) -> Door:
         """Listens at an address, or on a listening socket that is there already; raises OSError."""
 
@@ -87,6 +90,7 @@
 
     now = staticmethod(time.monotonic_ns)
     unix = staticmethod(time.time_ns)
+    cpu = staticmethod(time.process_time)
 
     def door(self, host: str, port: int, inherited: int | None) -> Door:
         return SocketDoor(host, port, inherited)
--- a/tests/virtual/test_explore.py
+++ b/tests/virtual/test_explore.py
@@ -71,11 +71,11 @@
 
     answer = Driver._answer
 
-    def forgets(self: Driver, held: Any, text: bytes, counts: list[int]) -> None:
+    def forgets(self: Driver, held: Any, text: bytes, counts: list[int], how: str) -> None:
         if counts is not self.tally.ok:
             self._close(held)  # and says nothing
         else:
-            answer(self, held, text, counts)
+            answer(self, held, text, counts, how)
 
     monkeypatch.setattr(Driver, "_answer", forgets)
     faults = [{"kind": "database-stop", "at_s": 0.2, "for_s": 1.0}]
--- a/tests/virtual/test_model.py
+++ b/tests/virtual/test_model.py
@@ -37,7 +37,7 @@
 
 
 def says_nothing(patch: pytest.MonkeyPatch) -> None:
-    patch.setattr(Balancer, "_give_up", lambda self, job: None)
+    patch.setattr(Balancer, "_give_up", lambda self, job, why="": None)
 
 
 @pytest.mark.parametrize(
