--- a/rainhitch/cli/logs.py
+++ b/rainhitch/cli/logs.py
@@ -7,7 +7,7 @@
 import orjson
 
 from rainhitch.cli import bad
-from rainhitch.logs import sums
+from rainhitch.telemetry import sums
 
 
 def fill(parser: argparse.ArgumentParser) -> None:
--- a/rainhitch/fleet/peers.py
+++ b/rainhitch/fleet/peers.py
@@ -7,8 +7,8 @@
 
 from rainhitch import interface as api
 from rainhitch.fleet.advice import AdviceError, decode, encode, hashes
-from rainhitch.logs.counts import Counts
 from rainhitch.node.pool import Endpoint
+from rainhitch.telemetry.counts import Counts
 
 log = logging.getLogger("rainhitch")
 
--- a/rainhitch/node/discovery.py
+++ b/rainhitch/node/discovery.py
@@ -10,12 +10,12 @@
 import orjson
 
 from rainhitch import interface as api
-from rainhitch.logs.counts import Counts
 from rainhitch.node.caches import CacheConnection
 from rainhitch.node.origin import OriginConnection
 from rainhitch.node.pool import Endpoint, Pools
 from rainhitch.protocol.http1 import Answer, Http, HttpError
 from rainhitch.settings import Json, Names
+from rainhitch.telemetry.counts import Counts
 
 HOLD = 5.0  # s that a watch may be held; one that is silent for longer has failed
 PATIENCE = 2.0  # s for an answer that need not wait
--- a/rainhitch/node/driver.py
+++ b/rainhitch/node/driver.py
@@ -10,12 +10,12 @@
 from rainhitch import interface as api
 from rainhitch import system
 from rainhitch.admin.figures import Tally
-from rainhitch.logs.counts import Counts
 from rainhitch.node.call import Call, Ending, Exchange
 from rainhitch.node.pool import Connection, Pool, Pools
 from rainhitch.node.relay import Relay, Source
 from rainhitch.policy.balancer import Balancer
 from rainhitch.protocol import resp
+from rainhitch.telemetry.counts import Counts
 
 MILLI = 1_000_000
 SECOND = 1_000_000_000
--- a/rainhitch/node/pool.py
+++ b/rainhitch/node/pool.py
@@ -9,9 +9,9 @@
 
 from rainhitch import system
 from rainhitch.interface import Status
-from rainhitch.logs.counts import Counts
 from rainhitch.node.call import Ending, Exchange
 from rainhitch.node.relay import Relay
+from rainhitch.telemetry.counts import Counts
 
 IDLE_MOST = 10.0  # s after which an idle connection is surplus: it costs more than opening one anew
 IDLE_PART = 0.8  # of the server's keepalive: closed well before the server does
--- a/rainhitch/node/service.py
+++ b/rainhitch/node/service.py
@@ -9,7 +9,6 @@
 
 from rainhitch.admin.figures import Tally
 from rainhitch.interface import Members
-from rainhitch.logs.records import WORDS, Bad, Second
 from rainhitch.node.clients import Clients
 from rainhitch.node.configuration import (
     Configuration,
@@ -23,6 +22,7 @@
 from rainhitch.node.pool import Pools
 from rainhitch.policy.balancer import Balancer
 from rainhitch.storms.damper import Damper
+from rainhitch.telemetry.records import WORDS, Bad, Second
 
 if TYPE_CHECKING:
     from rainhitch.admin.house import House
--- /dev/null
+++ b/rainhitch/telemetry/records.py
@@ -0,0 +1,52 @@
+"""The lines that a router writes for machines to read: each field is named here and nowhere else.
+
+A line is a word and one JSON object, behind whatever the logging puts before it:
+
+    ... INFO second {"at":1764618445.2,"taken":31,"ended":{"served":24,"refused:placement+":7},...}
+    ... INFO bad {"at":1764618445.4,"id":"4981434d5d3a91c4","how":"failed:late","tries":["s-5be2a07c timeout"]}
+
+Counts are of what happened since the router's last `second`; times are Unix seconds.
+"""
+
+from dataclasses import dataclass, field
+
+Numbers = dict[str, int]
+
+
+@dataclass(slots=True)
+class Second:
+    """What one router did in a second; nothing is written for one in which nothing happened."""
+
+    at: float
+    taken: int = 0  # requests
+    # How requests ended: served, gone (the client left), refused:WHY, failed:WHY. WHY is the decision that gave
+    # it up: placement (no server calm), throttle, buffer (waited there too long), fetch (waited for another's
+    # read), origin, storm, order, budget (of retries), attempts (no one more is allowed), full, error, late,
+    # room (of the router itself), overdue (the decisions lost it); + behind it: beyond the customer's share.
+    ended: Numbers = field(default_factory=dict)
+    tried: Numbers = field(default_factory=dict)  # attempts, by how they ended
+    again: Numbers = field(default_factory=dict)  # attempts after an earlier one, by how that had ended
+    sent: Numbers = field(default_factory=dict)  # attempts, by server
+    poor: Numbers = field(
+        default_factory=dict
+    )  # by server: of these, those that ended with neither ok nor miss
+    links: Numbers = field(default_factory=dict)  # connections to servers: new, refused
+    calls: Numbers = field(default_factory=dict)  # to discovery: ok, or the error's name
+    words: Numbers = field(default_factory=dict)  # between routers: told, bytes, heard, unread
+    open: int = 0  # connections to servers at its end
+    list_age: float = -1.0  # s since discovery last answered; -1: it never has
+    rate: float = 0.0  # of the throttle, likely misses a second; 0: it is off
+    cpu: float = 0.0  # s of CPU
+
+
+@dataclass(slots=True)
+class Bad:
+    """A request that ended without an answer after it had been sent on."""
+
+    at: float
+    id: str
+    how: str
+    tries: list[str]  # the servers tried, each with how it ended
+
+
+WORDS: dict[str, type[Second] | type[Bad]] = {"second": Second, "bad": Bad}
