A crowd at a server is forgotten as it drains, and a full connection table is no load

Cause: an average that only a new answer changes (Server.predict), fed 750 ms by each FULL, told to all; who looks slow is asked no more and stays slow. FULL on a connection just opened is a full table (13 to 20 places a core for 60 routers), which says nothing of the load. Ruled out: capacity (10 attempts out over 84 cores), marking (a Monte Carlo of Shares marks 1 to 3% of the small customers' requests).

Change: what a server held when it last answered is forgotten over that answer time, times the routers that are not heard (all of them while words are silent, one while they come); new answers count against what is left. Outcome.fresh tells a connection opened for the attempt: a FULL there is counted as a refused connect, and the request goes on, within its attempts and the budget.

--- a/rainhitch/interface.py
+++ b/rainhitch/interface.py
@@ -163,6 +163,7 @@
     elapsed: int
     note: int = 0
     load: Load | None = None
+    fresh: bool = False  # it went on a connection that was opened for it
 
 
 @dataclass(slots=True)
--- a/rainhitch/node/driver.py
+++ b/rainhitch/node/driver.py
@@ -287,11 +287,10 @@
         self.counts.add("tried", ending.status.value)
         if ending.status not in (api.Status.OK, api.Status.MISS):
             self.counts.add("poor", attempt.server)
-        self._tell(
-            api.Outcome(
-                held.id, attempt.number, attempt.server, ending.status, not held.open, elapsed, ending.note
-            )
-        )
+        name, number, server = held.id, attempt.number, attempt.server
+        fresh = attempt.connection is None or attempt.connection.fresh
+        status, note = ending.status, ending.note
+        self._tell(api.Outcome(name, number, server, status, not held.open, elapsed, note, fresh=fresh))
 
     def _answer(self, held: Held, answer: bytes, counts: list[int], how: str) -> None:
         self._close(held)
--- a/rainhitch/policy/balancer.py
+++ b/rainhitch/policy/balancer.py
@@ -178,7 +178,7 @@
                 # waited for. The wait grows with the server's answer times, and at one that was slow lately
                 # it is the whole, so that a jam is not fed. Nor do two quick answers prove a quick server:
                 # what is usual in the whole fleet is waited for.
-                usual = max(server.predict(), self.fleet.usual)
+                usual = max(server.predict(self.turn.now, self.fleet.unheard()), self.fleet.usual)
                 timeout = min(timeout, max(job.spec.aim // 4, int(PATIENCE * usual)))
         server.out += 1
         server.sent_at = self.turn.now
@@ -278,6 +278,7 @@
             job.live.pop(event.attempt, None)
         # Guards against a slow origin behind the caches: what one could not fetch, no other should try.
         late = self.turn.now >= job.due and not job.spec.late_worth
+        full = status is api.Status.FULL and not event.fresh
         unfetched = status is api.Status.ERROR and not self.settings.aside and not job.request.write
         if status is api.Status.MISS and self.settings.aside and not job.at_origin:
             job.missed = event.server
@@ -295,7 +296,7 @@
             self._after_origin(job)
             if key is not None and not job.request.write:
                 self._fetched(key, False)
-        elif unfetched or late or (status is api.Status.FULL and (job.marked or job.made > 1)):
+        elif unfetched or late or (full and (job.marked or job.made > 1)):
             self._give_up(job, "late" if late else status.value)
         else:
             self._proceed(job)
--- a/rainhitch/policy/placement.py
+++ b/rainhitch/policy/placement.py
@@ -144,7 +144,7 @@
     def _limits(self, job: Job) -> tuple[float, int, int]:
         """From which answer time, and which times its uncrowded one, a server is swamped for this request."""
         slow, crowd = (SLOW_IF_MARKED, CROWD_IF_MARKED) if job.marked else (SLOW, CROWD)
-        return job.spec.aim * slow, crowd, self.turn.settings.balancers
+        return job.spec.aim * slow, crowd, self.fleet.unheard()
 
     def _owner(self, job: Job) -> Server | None:
         """The owner of the key's range, or the next in range order where a departure acts."""
--- a/rainhitch/policy/servers.py
+++ b/rainhitch/policy/servers.py
@@ -1,5 +1,6 @@
 """The servers as this router has seen them: what to expect of each, and the list of them all."""
 
+import math
 from dataclasses import dataclass, field
 
 from rainhitch import interface as api
@@ -7,6 +8,8 @@
 from rainhitch.policy.rates import SECOND, SMOOTHING, Bank
 from rainhitch.policy.turn import Turn
 
+HEARD_FOR = 8  # periods without a word after which the others are taken as unheard
+
 
 @dataclass(slots=True, eq=False)
 class Server:
@@ -35,9 +38,18 @@
     load: api.Load | None = None
     load_at: int = 0
 
-    def predict(self) -> float:
+    def usual(self, now: int, routers: int) -> float:
+        """The answer time to expect by what was last learned. Guards against a crowd that left long ago: what
+        a server held when it last answered is done after that time, unless others send it more, of whom so
+        many are not heard of."""
+        crowd = self.latency - self.base
+        if not self.base or crowd <= 0:
+            return self.latency
+        return self.base + crowd * math.exp(min(0, self.learned_at - now) / (self.latency * routers))
+
+    def predict(self, now: int, routers: int) -> float:
         """The answer time to expect of one more request, if it grows with what this router has out."""
-        return self.latency * (self.out + 1) / self.held
+        return self.usual(now, routers) * (self.out + 1) / self.held
 
     def warmth(self, now: int, settings: api.Settings) -> float:
         """The part of its capacity that it has by now at least, if it started lately."""
@@ -57,8 +69,9 @@
 
     def calm(self, now: int, limit: float, crowd: int, routers: int) -> bool:
         """Whether one more request is answered within the limit, and crowd times its uncrowded answer time.
-        A swamped server gets one trial an answer time, to recover: from all routers what a core serves."""
-        own, reported = self.predict(), self.reported(now)
+        A swamped server gets one trial an answer time, to recover: from all routers what a core serves.
+        `routers`: how many send without this one's hearing of it, with itself."""
+        own, reported = self.predict(now, routers), self.reported(now)
         # Guards quick servers: a few times next to nothing is no crowd.
         if own <= min(limit, crowd * max(self.base or limit, limit / 16)) and reported <= limit * crowd / 2:
             return True
@@ -68,16 +81,16 @@
         self.trial = True
         return True
 
-    def learn(self, now: int, span: int, elapsed: int, out: int) -> None:
+    def learn(self, now: int, span: int, elapsed: int, out: int, routers: int) -> None:
         # Guards against a fleet so wide that answers come seldom: each counts for the time since the last.
         weight = 1 / 2 if self.trial else min(max((now - self.learned_at) / span, SMOOTHING), 1 / 2)
         self.held += (out - self.held) * SMOOTHING
-        self.take_up(now, elapsed, weight)
+        self.take_up(now, elapsed, weight, routers)
         self.trial = False
 
-    def take_up(self, now: int, elapsed: int, weight: float) -> None:
+    def take_up(self, now: int, elapsed: int, weight: float, routers: int) -> None:
         """An answer time, whoever saw it."""
-        self.learned_at = now
+        self.latency, self.learned_at = self.usual(now, routers), now
         self.latency += (elapsed - self.latency) * weight
         self.base = min(self.base * (1 + SMOOTHING / 16) or self.latency, self.latency)
 
@@ -103,6 +116,7 @@
         self.origin: Server | None = None
         self.usual = turn.shortest_aim / 8  # moving average of answer times, ns, over all cache servers
         self.crowded = 0.0  # part of the latest new connects that were refused at once
+        self.heard_at = -(1 << 62)  # when another router's word last came
         self.asks = 0
         self.seen: dict[str, api.Seen] = {}  # since the other routers were last told
 
@@ -154,12 +168,20 @@
 
     def heard(self, event: api.Heard) -> None:
         """Takes up what another router has seen, as if its answers were this one's."""
+        self.heard_at = self.turn.now
         for one in event.seen:
             server = self.servers.get(one.server)
             if server is not None and server is not self.origin:
-                server.take_up(self.turn.now, one.elapsed, 1 - (1 - SMOOTHING) ** one.answers)
+                server.take_up(self.turn.now, one.elapsed, 1 - (1 - SMOOTHING) ** one.answers, 1)
                 server.bear(self.turn.now, one.elapsed, one.elapsed > self.turn.shortest_aim // 2)
 
+    def unheard(self) -> int:
+        """How many routers send without this one's hearing of it, with itself: all of them, or, while words
+        come, itself alone."""
+        settings = self.turn.settings
+        silent = self.turn.now - self.heard_at > HEARD_FOR * settings.tell_every
+        return settings.balancers if silent else 1
+
     def avoided(self) -> set[str]:
         """Who is tried with one attempt at a time at most, since connections there fail."""
         return {name for name, server in self.servers.items() if server.fails}
@@ -196,9 +218,12 @@
         if load is not None and load.inflight >= 0 and load.latency_ms > 0:
             server.load, server.load_at = load, self.turn.now
         failed = status in (api.Status.CONNECT_FAILED, api.Status.RESET)
+        # Guards against a full connection table taken for a full queue: who is turned away on a connection
+        # just opened has learned nothing of the server's load.
+        table = status is api.Status.FULL and event.fresh
         if not server.linked and not server.fails and event.elapsed < self.turn.settings.connect_timeout:
-            self.crowded += (failed - self.crowded) * SMOOTHING
-        server.linked = not failed
+            self.crowded += ((failed or table) - self.crowded) * SMOOTHING
+        server.linked = not failed and not table
         # Guards against one broken connection taken for a dead server: who answered just now is none,
         # unless the next one breaks too.
         recent = self.turn.now - server.answered_at < self.turn.settings.connect_timeout
@@ -218,7 +243,7 @@
                     self.turn.now
                 )  # a process that died comes back cold, before the list tells
         # Guards against a swamped server whose keys went elsewhere: a trial that misses tells as well.
-        full, missed = status is api.Status.FULL, status is api.Status.MISS
+        full, missed = status is api.Status.FULL and not table, status is api.Status.MISS
         elapsed = self.turn.shortest_aim if full else event.elapsed  # a quick "full" proves no quick server
         answered, sent = status in (api.Status.OK, api.Status.MISS), self.turn.now - event.elapsed
         if answered:
@@ -229,7 +254,8 @@
         lone = server.proved_at > sent or event.elapsed < server.latency
         silent = status is api.Status.TIMEOUT and not lone
         if full or silent or status is api.Status.OK or (missed and server.trial):
-            server.learn(self.turn.now, 2 * self.turn.shortest_aim, elapsed, server.out + 1)
+            span, out = 2 * self.turn.shortest_aim, server.out + 1
+            server.learn(self.turn.now, span, elapsed, out, self.unheard())
             self._count(server, elapsed)
         if full or silent or answered:
             server.bear(self.turn.now, event.elapsed, elapsed > self.turn.shortest_aim // 2)
--- a/rainhitch/telemetry/counts.py
+++ b/rainhitch/telemetry/counts.py
@@ -29,7 +29,7 @@
             self.told.append(Bad(at, name, how, tries))
 
     def cut(self, at: float, cpu: float) -> Second | None:
-        """The record of what was counted since the last one; None where nothing was. `cpu`: since the start."""
+        """The record of what was counted since the last one; None where nothing was. `cpu`: s in all."""
         if not self.taken and not self.since:
             return None
         made = Second(at, self.taken, cpu=round(cpu - self.cpu, 4))
--- a/rainhitch/telemetry/records.py
+++ b/rainhitch/telemetry/records.py
@@ -3,7 +3,7 @@
 A line is a word and one JSON object, behind whatever the logging puts before it:
 
     ... INFO second {"at":1764618445.2,"taken":31,"ended":{"served":24,"refused:placement+":7},...}
-    ... INFO bad {"at":1764618445.4,"id":"4981434d5d3a91c4","how":"failed:late","tries":["s-5be2a07c timeout"]}
+    ... INFO bad {"at":1764618445.4,"id":"4981434d5d3a91c4","how":"failed:late","tries":["s-5be2 timeout"]}
 
 Counts are of what happened since the router's last `second`; times are Unix seconds.
 """
@@ -19,17 +19,15 @@
 
     at: float
     taken: int = 0  # requests
-    # How requests ended: served, gone (the client left), refused:WHY, failed:WHY. WHY is the decision that gave
-    # it up: placement (no server calm), throttle, buffer (waited there too long), fetch (waited for another's
-    # read), origin, storm, order, budget (of retries), attempts (no one more is allowed), full, error, late,
-    # room (of the router itself), overdue (the decisions lost it); + behind it: beyond the customer's share.
+    # How requests ended: served, gone (the client left), refused:WHY, failed:WHY. WHY is the decision that
+    # gave it up: placement (no server calm), throttle, buffer (waited there too long), fetch (waited for
+    # another's read), origin, storm, order, budget (of retries), attempts (no one more is allowed), full,
+    # error, late, room (of the router), overdue (the decisions lost it); + behind it: beyond the share.
     ended: Numbers = field(default_factory=dict)
     tried: Numbers = field(default_factory=dict)  # attempts, by how they ended
     again: Numbers = field(default_factory=dict)  # attempts after an earlier one, by how that had ended
     sent: Numbers = field(default_factory=dict)  # attempts, by server
-    poor: Numbers = field(
-        default_factory=dict
-    )  # by server: of these, those that ended with neither ok nor miss
+    poor: Numbers = field(default_factory=dict)  # of these, those with neither ok nor miss
     links: Numbers = field(default_factory=dict)  # connections to servers: new, refused
     calls: Numbers = field(default_factory=dict)  # to discovery: ok, or the error's name
     words: Numbers = field(default_factory=dict)  # between routers: told, bytes, heard, unread
--- a/tests/policy/test_balancer.py
+++ b/tests/policy/test_balancer.py
@@ -240,7 +240,7 @@
     router = Router()
     home = router.balancer.fleet.servers[router.serve("k")]
     for _ in range(12):
-        home.learn(router.now, SECOND, int(router.balancer.turn.shortest_aim), 1)
+        home.learn(router.now, SECOND, int(router.balancer.turn.shortest_aim), 1, 1)
     home.out, home.sent_at = 1, router.now
     _, actions = router.ask("k")
     assert sends(actions) and sends(actions) != [home.member.server]
@@ -262,7 +262,7 @@
     one = Server(api.Member("c"), float(SECOND))
     assert not one.calm(SECOND // 2, SECOND / 4, 4, 1)
     assert one.calm(SECOND, SECOND / 4, 4, 1)
-    one.learn(SECOND, SECOND, SECOND // 10, 1)
+    one.learn(SECOND, SECOND, SECOND // 10, 1, 1)
     assert one.latency < 0.6 * SECOND, "a trial's answer counts for half"
 
 
@@ -491,15 +491,15 @@
     assert tested.calm(START, SECOND, 4, 1) and tested.trial
     tested.out, tested.sent_at = 1, START
     assert not tested.calm(START, SECOND, 4, 1)
-    tested.learn(START, SECOND, 0, 1)
+    tested.learn(START, SECOND, 0, 1, 1)
     assert tested.latency == 2 * SECOND
 
 
 def test_an_answer_after_a_long_silence_counts_more() -> None:
     """Guards against a fleet so wide that this router sees a server seldom."""
     often, seldom = (Server(api.Member("c"), 1.0 * SECOND, learned_at=START) for _ in range(2))
-    often.learn(START + MILLI, 2 * SECOND, 0, 1)
-    seldom.learn(START + 5 * SECOND, 2 * SECOND, 0, 1)
+    often.learn(START + MILLI, 2 * SECOND, 0, 1, 1)
+    seldom.learn(START + 5 * SECOND, 2 * SECOND, 0, 1, 1)
     assert (often.latency, seldom.latency) == (SECOND * 7 / 8, SECOND / 2)
 
 
@@ -517,8 +517,8 @@
 def test_what_was_out_is_forgotten_slowly() -> None:
     """Guards against a crowded server that looks slow by itself as soon as it gets one request at a time."""
     one = Server(api.Member("c"), 1.0 * SECOND, held=9.0, trial=True)
-    one.learn(START, 2 * SECOND, SECOND, 1)
-    assert one.held == 8 and one.predict() < SECOND / 4
+    one.learn(START, 2 * SECOND, SECOND, 1, 1)
+    assert one.held == 8 and one.predict(START, 1) < SECOND / 4
 
 
 def test_never_two_attempts_are_out() -> None:
--- /dev/null
+++ b/tests/policy/test_crowds.py
@@ -0,0 +1,77 @@
+"""What a router believes of a server's crowd, when it hears of it late, seldom, or no more."""
+
+import pytest
+from support import MILLI, SECOND, START, Router, fleet, settings
+
+from rainhitch import interface as api
+from rainhitch.policy.servers import HEARD_FOR, Server
+
+S = api.Status
+
+
+def crowded(out: int = 0) -> Server:
+    """A server that took 700 ms when it last answered, and 100 ms when it was idle."""
+    idle, held = SECOND / 10, 1.0 + out
+    return Server(api.Member("c"), 0.7 * SECOND, idle, START, held, out, sent_at=START)
+
+
+def test_a_crowd_is_forgotten_in_the_time_in_which_it_is_served() -> None:
+    """Guards against the collapse of an idle fleet: each server's last answer was slow, nobody asks again,
+    and so it stays slow in all routers' eyes."""
+    assert not crowded().calm(START + SECOND // 10, SECOND, 4, 1)
+    assert crowded().calm(START + SECOND, SECOND, 4, 1)
+    assert not crowded().trial, "it is calm, not on trial"
+
+
+def test_others_who_are_not_heard_may_keep_a_crowd_up() -> None:
+    assert not crowded(out=1).calm(START + SECOND, SECOND, 4, 60)
+    assert crowded(out=1).calm(START + 60 * SECOND, SECOND, 4, 60)
+
+
+def test_a_server_that_was_never_seen_idle_keeps_its_answer_time() -> None:
+    one = Server(api.Member("c"), 0.7 * SECOND, learned_at=START)
+    assert one.predict(START + 60 * SECOND, 1) == 0.7 * SECOND
+
+
+def test_a_new_answer_counts_against_what_is_left_of_the_crowd() -> None:
+    """Guards against one quick answer after a long silence that changes little: the rest is long gone."""
+    one = crowded()
+    one.take_up(START + 10 * SECOND, SECOND // 10, 1 / 8, 1)
+    assert one.latency < 0.11 * SECOND
+
+
+@pytest.mark.parametrize(("after", "unheard"), [(0, 1), (HEARD_FOR, 1), (HEARD_FOR + 1, 60)])
+def test_the_others_count_as_heard_while_their_words_come(after: int, unheard: int) -> None:
+    every = 200 * MILLI
+    router = Router(settings(tell_every=every, balancers=60))
+    assert router.balancer.fleet.unheard() == 60
+    router.tell(api.Heard([api.Seen("c0", 1, 10 * MILLI)]))
+    router.balancer.turn.now = router.now + after * every
+    assert router.balancer.fleet.unheard() == unheard
+
+
+def test_a_full_connection_table_tells_nothing_of_load_and_is_passed_by() -> None:
+    """Guards against tables smaller than the fleet: each newcomer that is turned away made the server look
+    swamped to all routers, and after two of them a request was refused while servers idled."""
+    router = Router(settings(tell_every=SECOND), fleet(6))
+    _, (send,) = router.ask("k")
+    tried = set()
+    for attempt in range(3):
+        assert isinstance(send, api.Send)
+        tried.add(send.server)
+        before = router.balancer.fleet.servers[send.server].latency
+        (send,) = router.end(send, S.FULL, attempt, 2 * MILLI, fresh=True)
+        assert all(router.balancer.fleet.servers[name].latency <= before for name in tried)
+    assert len(tried) == 3
+    router.end(send, S.OK, 3, 80 * MILLI)
+    told = [one for one in router.wait(3 * SECOND) if isinstance(one, api.Tell)]
+    assert [seen.server for one in told for seen in one.seen] == [send.server]  # type: ignore[union-attr]
+
+
+def test_a_full_queue_is_load_as_before() -> None:
+    router = Router()
+    _, (send,) = router.ask("k")
+    assert isinstance(send, api.Send)
+    before = router.balancer.fleet.servers[send.server].latency
+    router.end(send, S.FULL)
+    assert router.balancer.fleet.servers[send.server].latency > 3 / 2 * before
--- a/tests/support.py
+++ b/tests/support.py
@@ -91,11 +91,13 @@
         attempt: int = 0,
         elapsed: int = 10 * MILLI,
         load: api.Load | None = None,
+        fresh: bool = False,
     ) -> list[api.Action]:
         """Ends the attempt that this Send began."""
         assert isinstance(send, api.Send)
         closed = status is api.Status.OK
-        return self.tell(api.Outcome(send.id, attempt, send.server, status, closed, elapsed, load=load))
+        told = api.Outcome(send.id, attempt, send.server, status, closed, elapsed, load=load, fresh=fresh)
+        return self.tell(told)
 
     def candidates(self, key: str) -> list[Server]:
         balancer = self.balancer
