--- a/rainhitch/cli/logs.py
+++ b/rainhitch/cli/logs.py
@@ -57,7 +57,10 @@
             continue
         print(f"\n{name}")
         for how, many in whole.counts[name].most_common():
-            print(f"  {how:<24}{many:>9}  {many / max(1, whole.taken):8.4f} a request")
+            each = f"{many / max(1, whole.taken):8.4f} a request"
+            if name == "took":
+                each = f"{many / max(1, whole.counts['tried'][how]):8.0f} ms each"
+            print(f"  {how:<24}{many:>9}  {each}")
     if by == "router":
         print("\nrouter                       taken     lost  connections")
         for router, one in sorted(fleet.routers.items(), key=lambda pair: -pair[1].taken):
--- a/rainhitch/node/driver.py
+++ b/rainhitch/node/driver.py
@@ -284,7 +284,11 @@
     def _outcome(self, attempt: Attempt, ending: Ending) -> None:
         held, elapsed = attempt.held, self.now() - attempt.sent
         held.tries.append((attempt.server, ending.status))
-        self.counts.add("tried", ending.status.value)
+        origin = self.balancer.fleet.origin
+        at_origin = origin is not None and origin.member.server == attempt.server
+        how = f"origin {ending.status.value}" if at_origin else ending.status.value
+        self.counts.add("tried", how)
+        self.counts.add("took", how, elapsed // MILLI)
         if ending.status not in (api.Status.OK, api.Status.MISS):
             self.counts.add("poor", attempt.server)
         name, number, server = held.id, attempt.number, attempt.server
--- a/rainhitch/telemetry/records.py
+++ b/rainhitch/telemetry/records.py
@@ -24,7 +24,9 @@
     # another's read), origin, storm, order, budget (of retries), attempts (no one more is allowed), full,
     # error, late, room (of the router), overdue (the decisions lost it); + behind it: beyond the share.
     ended: Numbers = field(default_factory=dict)
-    tried: Numbers = field(default_factory=dict)  # attempts, by how they ended
+    # Attempts, by how they ended; "origin" before it: at the database. And how long these took in all, ms.
+    tried: Numbers = field(default_factory=dict)
+    took: Numbers = field(default_factory=dict)
     again: Numbers = field(default_factory=dict)  # attempts after an earlier one, by how that had ended
     sent: Numbers = field(default_factory=dict)  # attempts, by server
     poor: Numbers = field(default_factory=dict)  # of these, those with neither ok nor miss
