--- a/rainhitch/node/driver.py
+++ b/rainhitch/node/driver.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections import deque
+from collections import defaultdict, deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Protocol
@@ -76,6 +76,7 @@
         self.held_bytes = 0
         self.tally = Tally([str(n) for n in range(len(balancer.settings.classes))])
         self.counts = Counts()
+        self.customers: dict[int, str] = defaultdict(str)  # their names, by number
         self.watch: Callable[[], None] = lambda: None
         self.tell_peers: Callable[[list[api.Seen]], None] = lambda seen: None
         self.stop_at = 0  # when all must be answered, once the router is told to stop
@@ -300,6 +301,9 @@
         self._close(held)
         counts[held.call.cls] += 1
         self.counts.add("ended", how)
+        job = self.balancer.jobs.get(held.id)
+        over = "+" if how.endswith("+") or (job is not None and job.marked) else ""
+        self.counts.add("customers", f"{self.customers[held.call.tenant]}{over} {how.partition(':')[0]}")
         if held.tries and how != "served":
             tries = [f"{server} {status.value}" for server, status in held.tries]
             self.counts.bad(self.unix() / SECOND, held.id, how, tries)
--- a/rainhitch/node/service.py
+++ b/rainhitch/node/service.py
@@ -59,6 +59,7 @@
         self.balancer = Balancer(told.settings, told.seed, self.damper)
         self.driver = Driver(self.balancer, self.pools, told.ceilings.most_held, quarter)
         self.driver.tally = Tally(list(told.names.classes))
+        self.driver.customers.update((number, name) for name, number in told.names.tenants.items())
         self.clients = Clients(self.driver, told.names, told.sockets // 2, quarter, self.damper)
         share_descriptors(told.sockets, self.pools, self.clients)
         origin_kind = told.settings.origin_kind if told.settings.aside else -1
--- a/rainhitch/policy/servers.py
+++ b/rainhitch/policy/servers.py
@@ -89,8 +89,8 @@
         self.trial = False
 
     def take_up(self, now: int, elapsed: int, weight: float, routers: int) -> None:
-        """An answer time, whoever saw it. Guards against a crowd that is there all the time and forgotten a bit
-        between any two answers: only a silence longer than an answer time tells that it has gone."""
+        """An answer time, whoever saw it. Guards against a crowd that stays and is forgotten a bit between
+        two answers: only a silence longer than an answer time tells that it has gone."""
         if now - self.learned_at > self.latency * routers:
             self.latency = self.usual(now, routers)
         self.learned_at = now
--- a/rainhitch/telemetry/records.py
+++ b/rainhitch/telemetry/records.py
@@ -28,6 +28,9 @@
     tried: Numbers = field(default_factory=dict)
     took: Numbers = field(default_factory=dict)
     again: Numbers = field(default_factory=dict)  # attempts after an earlier one, by how that had ended
+    customers: Numbers = field(
+        default_factory=dict
+    )  # by customer, + beyond its share: served, refused, failed
     sent: Numbers = field(default_factory=dict)  # attempts, by server
     poor: Numbers = field(default_factory=dict)  # of these, those with neither ok nor miss
     links: Numbers = field(default_factory=dict)  # connections to servers: new, refused
