Failures at three servers of a zone in a row are taken for the zone's, which is passed by

Cause: Fleet.observe and Placement._owner know of single servers only, and one router meets each of them every six seconds.

Change: policy/zones.py, a state machine without clocks: three servers that failed with no answer of their zone in between cut it; one trial at a time, at twice the wait each; silent attempts there tell nothing of a server's load. One zone alone on the list is never cut.

--- a/rainhitch/interface.py
+++ b/rainhitch/interface.py
@@ -163,7 +163,7 @@
     elapsed: int
     note: int = 0
     load: Load | None = None
-    fresh: bool = False  # it went on a connection that was opened for it
+    reused: bool | None = None  # it went on a connection that had carried others before; None: not known
 
 
 @dataclass(slots=True)
--- a/rainhitch/node/driver.py
+++ b/rainhitch/node/driver.py
@@ -293,9 +293,9 @@
         if ending.status not in (api.Status.OK, api.Status.MISS):
             self.counts.add("poor", attempt.server)
         name, number, server = held.id, attempt.number, attempt.server
-        fresh = attempt.connection is None or attempt.connection.fresh
+        reused = attempt.connection is not None and attempt.connection.reused
         status, note = ending.status, ending.note
-        self._tell(api.Outcome(name, number, server, status, not held.open, elapsed, note, fresh=fresh))
+        self._tell(api.Outcome(name, number, server, status, not held.open, elapsed, note, reused=reused))
 
     def _answer(self, held: Held, answer: bytes, counts: list[int], how: str) -> None:
         self._close(held)
--- a/rainhitch/node/pool.py
+++ b/rainhitch/node/pool.py
@@ -33,7 +33,7 @@
         self.dialling: asyncio.Task[None] | None = None
         self.unsent = True  # the last byte of what is asked is not yet with the system
         self.since = 0.0  # when it was opened
-        self.fresh = True  # nothing was asked on it but what it was opened for
+        self.reused = False  # it has carried more than what it was opened for
         self.idle_since = 0.0
         self.relay: Relay | None = None  # where a long value is passed on
 
@@ -192,7 +192,7 @@
         """Begins an attempt; none where the router may open no more connections."""
         connection = self._settled()
         if connection is not None:
-            connection.fresh = False
+            connection.reused = True
             connection.ask(exchange)
             return connection
         if not self.pools.room():
--- a/rainhitch/policy/balancer.py
+++ b/rainhitch/policy/balancer.py
@@ -180,8 +180,7 @@
                 # what is usual in the whole fleet is waited for.
                 usual = max(server.predict(self.turn.now, self.fleet.unheard()), self.fleet.usual)
                 timeout = min(timeout, max(job.spec.aim // 4, int(PATIENCE * usual)))
-        server.out += 1
-        server.sent_at = self.turn.now
+        self.fleet.sent(server)
         job.live[job.made] = (server.member, self.turn.now)
         job.out.add(job.made)
         if self.damper is not None:
@@ -278,7 +277,7 @@
             job.live.pop(event.attempt, None)
         # Guards against a slow origin behind the caches: what one could not fetch, no other should try.
         late = self.turn.now >= job.due and not job.spec.late_worth
-        full = status is api.Status.FULL and not event.fresh
+        full = status is api.Status.FULL and event.reused is not False
         unfetched = status is api.Status.ERROR and not self.settings.aside and not job.request.write
         if status is api.Status.MISS and self.settings.aside and not job.at_origin:
             job.missed = event.server
--- a/rainhitch/policy/placement.py
+++ b/rainhitch/policy/placement.py
@@ -137,7 +137,7 @@
             return None, False
         holder = self.fleet.servers.get(name)
         usable = holder is not None and name not in path and name not in job.tried
-        if holder is None or not usable or not holder.open(self.turn.now) or holder.cold_since > at:
+        if holder is None or not usable or not self.fleet.open(holder) or holder.cold_since > at:
             return None, False
         return holder, seen is not None
 
@@ -173,7 +173,7 @@
                 ):
                     continue
             # Guards against a range that is more than its server bears: the far end passes to the next.
-            if not server.open(self.turn.now) or (passed < 2 and depth >= server.share * server.size):
+            if not self.fleet.open(server) or (passed < 2 and depth >= server.share * server.size):
                 passed += server.fails == 0
                 continue
             # Guards against a storm of full answers: work spills once, to a calm server, or is refused.
--- a/rainhitch/policy/servers.py
+++ b/rainhitch/policy/servers.py
@@ -7,6 +7,7 @@
 from rainhitch.policy.jobs import Job
 from rainhitch.policy.rates import SECOND, SMOOTHING, Bank
 from rainhitch.policy.turn import Turn
+from rainhitch.policy.zones import Zones
 
 HEARD_FOR = 8  # periods without a word after which the others are taken as unheard
 
@@ -121,6 +122,7 @@
         self.crowded = 0.0  # part of the latest new connects that were refused at once
         self.heard_at = -(1 << 62)  # when another router's word last came
         self.asks = 0
+        self.zones = Zones(turn.settings.connect_timeout)
         self.seen: dict[str, api.Seen] = {}  # since the other routers were last told
 
     def take(self, event: api.Members) -> list[str] | None:
@@ -144,6 +146,7 @@
         origin_kind = self.turn.settings.origin_kind if self.turn.settings.aside else -1
         ready = [server for server in self.servers.values() if server.member.state is api.State.READY]
         caches = [server for server in ready if server.member.kind != origin_kind]
+        self.zones.listed({server.member.zone for server in caches})
         mean = sum(server.member.weight for server in caches) / max(1, len(caches)) or 1.0
         for server in caches:  # guards against an equal range for an unequal machine: the small bear less
             server.size = server.member.weight / mean
@@ -185,9 +188,45 @@
         silent = self.turn.now - self.heard_at > HEARD_FOR * settings.tell_every
         return settings.balancers if silent else 1
 
+    def sent(self, server: Server) -> None:
+        """An attempt goes there."""
+        server.out += 1
+        server.sent_at = self.turn.now
+        if server is not self.origin:
+            self.zones.sent(server.member.zone, self.turn.now)
+
+    def open(self, server: Server) -> bool:
+        """Whether it may be tried, by what is known of it and of its zone."""
+        return server.open(self.turn.now) and self.zones.open(server.member.zone, self.turn.now)
+
+    def _reached(self, server: Server, event: api.Outcome) -> bool:
+        """Takes an attempt's end as a word on the way to a server's zone; whether that is open."""
+        zone, log = server.member.zone, self.turn.actions
+        if event.status in (api.Status.OK, api.Status.MISS, api.Status.ERROR):
+            since = self.zones.answer(zone)
+            if since:
+                log.append(api.Log(f"zone {zone} answers again"))
+                self._returns(zone, since if not event.reused else self.turn.now)
+        elif event.status not in (api.Status.CONNECT_FAILED, api.Status.TIMEOUT):
+            return not self.zones.cut(zone)
+        elif self.zones.failure(zone, event.server, self.turn.now):
+            log.append(api.Log(f"zone {zone} is out of reach"))
+        return not self.zones.cut(zone)
+
+    def _returns(self, zone: int, since: int) -> None:
+        """Guards a room that was lost and comes back cold: each of its servers is tried once, as one that was
+        down since then. Where a connection has outlived it, the room was cut off: down since just now."""
+        for server in self.servers.values():
+            if server.member.zone == zone and server is not self.origin:
+                server.down_until = self.turn.now
+                server.down_since = since
+                if since < self.turn.now:
+                    server.fails = server.fails or 1
+
     def avoided(self) -> set[str]:
-        """Who is tried with one attempt at a time at most, since connections there fail."""
-        return {name for name, server in self.servers.items() if server.fails}
+        """Who is tried with one attempt at a time at most, since connections there or to its zone fail."""
+        cut = self.zones.cut
+        return {name for name, server in self.servers.items() if server.fails or cut(server.member.zone)}
 
     def _member(self, entry: api.Member, old: bool) -> None:
         if entry.state is api.State.GONE:
@@ -218,12 +257,13 @@
             return
         server.out = max(0, server.out - 1)
         status, load = event.status, event.load
+        reached = server is self.origin or self._reached(server, event)
         if load is not None and load.inflight >= 0 and load.latency_ms > 0:
             server.load, server.load_at = load, self.turn.now
         failed = status in (api.Status.CONNECT_FAILED, api.Status.RESET)
         # Guards against a full connection table taken for a full queue: who is turned away on a connection
         # just opened has learned nothing of the server's load.
-        table = status is api.Status.FULL and event.fresh
+        table = status is api.Status.FULL and event.reused is False
         if not server.linked and not server.fails and event.elapsed < self.turn.settings.connect_timeout:
             self.crowded += ((failed or table) - self.crowded) * SMOOTHING
         server.linked = not failed and not table
@@ -241,10 +281,9 @@
         elif server.fails and status in (api.Status.OK, api.Status.MISS, api.Status.FULL, api.Status.ERROR):
             server.fails = 0
             self.turn.actions.append(api.Log(f"server {event.server} answers again"))
-            if self.turn.now - server.down_since > SECOND and self.crowded <= 1 / 2:
-                server.cold_since = (
-                    self.turn.now
-                )  # a process that died comes back cold, before the list tells
+            if self.turn.now - server.down_since > SECOND and self.crowded <= 1 / 2 and not event.reused:
+                # A process that died comes back cold, before the list tells; an old connection outlives none.
+                server.cold_since = self.turn.now
         # Guards against a swamped server whose keys went elsewhere: a trial that misses tells as well.
         full, missed = status is api.Status.FULL and not table, status is api.Status.MISS
         elapsed = self.turn.shortest_aim if full else event.elapsed  # a quick "full" proves no quick server
@@ -255,7 +294,8 @@
         # Guards against one connection that fell silent taken for a swamped server: who has answered what
         # was sent later is none. Nor does a time-out tell of an answer time below what was waited.
         lone = server.proved_at > sent or event.elapsed < server.latency
-        silent = status is api.Status.TIMEOUT and not lone
+        # Nor does a server that is out of reach tell how crowded it is.
+        silent = status is api.Status.TIMEOUT and not lone and reached
         if full or silent or status is api.Status.OK or (missed and server.trial):
             span, out = 2 * self.turn.shortest_aim, server.out + 1
             server.learn(self.turn.now, span, elapsed, out, self.unheard())
--- a/tests/policy/test_crowds.py
+++ b/tests/policy/test_crowds.py
@@ -68,7 +68,7 @@
         assert isinstance(send, api.Send)
         tried.add(send.server)
         before = router.balancer.fleet.servers[send.server].latency
-        (send,) = router.end(send, S.FULL, attempt, 2 * MILLI, fresh=True)
+        (send,) = router.end(send, S.FULL, attempt, 2 * MILLI, reused=False)
         assert all(router.balancer.fleet.servers[name].latency <= before for name in tried)
     assert len(tried) == 3
     router.end(send, S.OK, 3, 80 * MILLI)
--- /dev/null
+++ b/tests/policy/test_zones.py
@@ -0,0 +1,124 @@
+"""A zone that can't be reached is known as such after a few failures, and not by chance."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+from support import MILLI, SECOND, START, Router, fleet, settings
+
+from rainhitch import interface as api
+from rainhitch.policy.zones import ENOUGH, Zones
+
+S = api.Status
+
+
+def test_failures_in_a_row_at_several_servers_cut_a_zone_and_an_answer_opens_it() -> None:
+    zones = Zones(SECOND)
+    zones.listed({0, 1})
+    told = [zones.failure(1, f"c{n}", START + n) for n in range(ENOUGH + 1)]
+    assert told == [False] * (ENOUGH - 1) + [True, False]
+    assert zones.cut(1) and not zones.cut(0)
+    assert zones.answer(1) == START + ENOUGH - 1 and not zones.cut(1) and zones.answer(1) == 0
+
+
+def test_one_server_that_fails_again_and_again_cuts_no_zone() -> None:
+    zones = Zones(SECOND)
+    zones.listed({0, 1})
+    assert not any(zones.failure(1, "c0", START) for _ in range(99)) and not zones.cut(1)
+
+
+def test_answers_in_between_keep_a_zone_open() -> None:
+    zones = Zones(SECOND)
+    zones.listed({0, 1})
+    for n in range(99):
+        assert not zones.failure(1, f"c{n}", START) and zones.answer(1) == 0
+
+
+def test_a_fleet_with_one_zone_has_nowhere_else_to_go() -> None:
+    zones = Zones(SECOND)
+    zones.listed({0})
+    assert not any(zones.failure(0, f"c{n}", START) for n in range(99)) and zones.open(0, START)
+
+
+def test_a_zone_that_leaves_the_list_is_forgotten() -> None:
+    zones = Zones(SECOND)
+    zones.listed({0, 1})
+    for n in range(ENOUGH):
+        zones.failure(1, f"c{n}", START)
+    zones.listed({0, 2})
+    zones.listed({0, 1})
+    assert not zones.cut(1)
+
+
+@given(st.lists(st.tuples(st.booleans(), st.integers(0, 5), st.integers(0, 2)), max_size=200))
+def test_a_zone_is_never_shut_for_good_and_never_on_fewer_failures(
+    course: list[tuple[bool, int, int]],
+) -> None:
+    zones, now, row = Zones(SECOND), START, {zone: set[int]() for zone in range(3)}
+    zones.listed(set(row))
+    for failed, server, zone in course:
+        now += SECOND // 10
+        if zones.open(zone, now):
+            zones.sent(zone, now)
+        if failed:
+            zones.failure(zone, str(server), now)
+            row[zone].add(server)
+        else:
+            zones.answer(zone)
+            row[zone].clear()
+        assert zones.cut(zone) == (len(row[zone]) >= ENOUGH)
+        assert all(zones.open(one, now + 16 * SECOND) for one in row)
+
+
+def cut_off(router: Router) -> int:
+    """Fails what goes to zone 1, as a link that is cut does; gives how many attempts it took."""
+    failed = 0
+    for n in range(200):
+        _, actions = router.ask(f"key{n}")
+        for attempt in range(4):
+            sent = [one for one in actions if isinstance(one, api.Send)]
+            if not sent:
+                break
+            if router.balancer.fleet.servers[sent[0].server].member.zone == 0:
+                router.end(sent[0], S.OK, attempt)
+                break
+            failed += 1
+            actions = router.end(sent[0], S.CONNECT_FAILED, attempt, 250 * MILLI)
+    return failed
+
+
+def test_a_cut_costs_a_few_attempts_and_not_some_at_each_server() -> None:
+    """Guards against requests that spend all their attempts on servers behind one cut."""
+    router = Router(settings(connect_timeout=250 * MILLI), fleet(40))
+    assert cut_off(router) <= ENOUGH + 1
+    assert any(line == "zone 1 is out of reach" for line in router.log)
+    assert len(router.balancer.fleet.avoided()) == 20
+
+
+def behind(router: Router, reused: bool) -> api.Send:
+    """Cuts zone 1 off for two seconds, and has its trial answered."""
+    cut_off(router)
+    router.wait(2 * SECOND)
+    for n in range(99):
+        _, (send, *_) = router.ask(f"after{n}")
+        assert isinstance(send, api.Send)
+        home = router.balancer.fleet.servers[send.server].member.zone
+        router.end(send, S.OK, 0, 10 * MILLI, reused=reused)
+        if home == 1:
+            return send
+    raise AssertionError("the zone was never tried again")
+
+
+def test_a_room_that_comes_back_is_taken_as_cold_until_a_server_proves_otherwise() -> None:
+    """Rule 4: a room that was lost comes back cold before the list tells, at all its servers."""
+    router = Router(settings(connect_timeout=250 * MILLI), fleet(40))
+    first = behind(router, reused=False)
+    assert router.balancer.fleet.servers[first.server].cold_since == router.now
+    rest = [one for one in router.balancer.fleet.servers.values() if one.member.zone == 1]
+    assert all(one.fails or one.cold_since == router.now for one in rest if one.member.kind != 9)
+
+
+def test_a_room_whose_connections_outlived_the_cut_is_as_warm_as_before() -> None:
+    router = Router(settings(connect_timeout=250 * MILLI), fleet(40))
+    first = behind(router, reused=True)
+    assert router.balancer.fleet.servers[first.server].cold_since == 0
+    assert len(router.balancer.fleet.avoided()) <= ENOUGH
+    assert isinstance(router.ask("later")[1][0], api.Send)
--- a/tests/support.py
+++ b/tests/support.py
@@ -91,12 +91,12 @@
         attempt: int = 0,
         elapsed: int = 10 * MILLI,
         load: api.Load | None = None,
-        fresh: bool = False,
+        reused: bool | None = None,
     ) -> list[api.Action]:
         """Ends the attempt that this Send began."""
         assert isinstance(send, api.Send)
         closed = status is api.Status.OK
-        told = api.Outcome(send.id, attempt, send.server, status, closed, elapsed, load=load, fresh=fresh)
+        told = api.Outcome(send.id, attempt, send.server, status, closed, elapsed, load=load, reused=reused)
         return self.tell(told)
 
     def candidates(self, key: str) -> list[Server]:
