--- a/tests/pages/test_docs.py
+++ b/tests/pages/test_docs.py
@@ -5,7 +5,7 @@
 import re
 from pathlib import Path
 
-from support import MILLI, SECOND, Router, settings
+from support import MILLI, SECOND, Router, fleet, settings
 
 from rainhitch import interface as api
 
@@ -24,7 +24,7 @@
 
 
 def test_every_log_line_on_the_on_call_page_exists_and_no_other() -> None:
-    router = Router(settings(must_ask=True))
+    router = Router(settings(must_ask=True), fleet(6))
     router.throttle_on()
     router.wait(60 * SECOND)
     _, (first,) = router.ask("k")
@@ -32,6 +32,9 @@
     router.wait(2 * SECOND)
     _, (again,) = router.ask("k")
     router.end(again, api.Status.OK, elapsed=MILLI)
+    for name in ("c1", "c3", "c5"):
+        router.tell(api.Outcome("x", 0, name, api.Status.CONNECT_FAILED, False, MILLI))
+    router.tell(api.Outcome("x", 0, "c1", api.Status.OK, False, MILLI))
     router.tell(api.Members(api.ListKind.FAILED, []))
     router.tell(api.Members(api.ListKind.DELTA, [api.Member("c9")]))
     router.wait(3 * SECOND)
