--- a/tests/node/test_growth.py
+++ b/tests/node/test_growth.py
@@ -159,8 +159,8 @@
     for one in late:
         one.settimeout(PATIENCE)
     answers = [await asyncio.to_thread(one.recv, 64) for one in late]
-    # On a slow machine the first 32 idle too long meanwhile, and mute newcomers take their places until their time
-    # is over: each has its answer all the same.
+    # On a slow machine the first 32 idle too long meanwhile, and mute newcomers take their places until their
+    # time is over: each has its answer all the same.
     assert b"-BUSY\r\n" in answers and set(answers) <= {b"-BUSY\r\n", b"-ERR no whole command in time\r\n"}
     for one in late:
         one.close()
