Unread words are counted once, and each of the logs' small steps stands in one place

Found on reading the change again: Peers counted a datagram it could not read twice over, in two branches alike; sums.records yielded a line and took an option that nobody used; a router's name and the fields by server were written out twice; a benchmark kept a table for one number.

--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -26,7 +26,7 @@
 
 def day(routers: int, kind: str, lost: float = 0.0, length_s: float = 8.0) -> Scenario:
     """A day of a kind, with so many routers."""
-    cores = {"full-node": 1, "small-node": 1} if kind == "over" else {"full-node": 2, "small-node": 1}
+    cores = 1 if kind == "over" else 2
     cut = {"kind": "partition", "room": "taoyuan", "at_s": length_s / 8, "for_s": length_s * 3 / 4}
     return scenario_of(
         {
@@ -37,11 +37,16 @@
                 "routers": routers,
                 "memory_keys": 80,
                 "nodes": [
-                    {"name": "full-node", "count": 36, "cores": cores["full-node"], "table_per_core": 20},
+                    {
+                        "name": "full-node",
+                        "count": 36,
+                        "cores": cores,
+                        "table_per_core": 20,
+                    },
                     {
                         "name": "small-node",
                         "count": 24,
-                        "cores": cores["small-node"],
+                        "cores": 1,
                         "speed": [0.51, 0.69],
                         "table_per_core": 20,
                     },
--- a/rainhitch/cli/logs.py
+++ b/rainhitch/cli/logs.py
@@ -53,7 +53,7 @@
     print(f"CPU {whole.cpu:.1f} s, {1e6 * whole.cpu / max(1, whole.taken):.0f} us a request;", end=" ")
     print(f"{whole.open / max(1, whole.seconds):.1f} connections a router; oldest list {whole.oldest:.1f} s")
     for name in sums.COUNTERS:
-        if name in ("sent", "poor") or not whole.counts[name]:
+        if name in sums.BY_SERVER or not whole.counts[name]:
             continue
         print(f"\n{name}")
         for how, many in whole.counts[name].most_common():
--- a/rainhitch/fleet/peers.py
+++ b/rainhitch/fleet/peers.py
@@ -27,21 +27,17 @@
         self.transport: asyncio.DatagramTransport | None = None
         self.known: dict[int, str] = {}  # the listed servers, by the hash that stands for them
         self.counts = Counts()
-        self.unread = 0  # datagrams that could not be read, or came from no peer
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.DatagramTransport, transport)
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Guards the decisions against who is no peer and against what can't be read: counted, no more."""
-        if (addr[0], addr[1]) not in self.peers:
-            self.unread += 1
-            self.counts.add("words", "unread")
-            return
         try:
+            if (addr[0], addr[1]) not in self.peers:
+                raise AdviceError("from no peer")
             seen = decode(data, self.known)
         except AdviceError:
-            self.unread += 1
             self.counts.add("words", "unread")
             return
         self.counts.add("words", "heard")
--- a/rainhitch/telemetry/sums.py
+++ b/rainhitch/telemetry/sums.py
@@ -8,16 +8,17 @@
 
 from pydantic import TypeAdapter, ValidationError
 
-from rainhitch.telemetry.records import WORDS, Bad, Second
+from rainhitch.telemetry.records import WORDS, Bad, Numbers, Second
 
 Json = dict[str, Any]
 READERS: dict[str, TypeAdapter[Any]] = {word: TypeAdapter(kind) for word, kind in WORDS.items()}
-COUNTERS = [one.name for one in fields(Second) if one.type == dict[str, int] or one.type == "Numbers"]
+COUNTERS = [one.name for one in fields(Second) if one.type == Numbers]
+BY_SERVER = ("sent", "poor")  # the counters whose names are servers
 MOST_SHOWN = 20
 
 
 def read_line(line: str) -> Second | Bad | None:
-    """The record on a line of a log, None for a line of another kind; raises ValueError for a torn one."""
+    """The record on a line of a log, None for a line of another kind; raises ValidationError where torn."""
     place = line.find(" {")
     word = line[:place].rsplit(" ", 1)[-1] if place > 0 else ""
     if word not in READERS:
@@ -56,7 +57,7 @@
         made |= {"cpu_s": round(self.cpu, 3), "oldest_list_s": round(self.oldest, 2)}
         made["open_mean"] = round(self.open / max(1, self.seconds), 1)
         for name in COUNTERS:
-            if name not in ("sent", "poor"):
+            if name not in BY_SERVER:
                 made[name] = dict(self.counts[name].most_common())
         return made
 
@@ -72,7 +73,12 @@
 
     def add(self, router: str, lines: Iterable[str]) -> None:
         mine = self.routers[router]
-        for _, one in records(lines, self):
+        for line in lines:
+            try:
+                one = read_line(line)
+            except ValidationError:
+                self.torn += 1
+                continue
             if isinstance(one, Second):
                 for each in (self.whole, self.seconds[int(one.at)], mine):
                     each.add(one)
@@ -87,19 +93,6 @@
         return sorted(self.seconds.items(), key=lambda one: -one[1].lost())[:MOST_SHOWN]
 
 
-def records(lines: Iterable[str], fleet: Fleet | None = None) -> Iterator[tuple[str, Second | Bad]]:
-    """Each record with its line; a torn line is counted with the fleet."""
-    for line in lines:
-        try:
-            one = read_line(line)
-        except ValidationError:
-            if fleet is not None:
-                fleet.torn += 1
-            continue
-        if one is not None:
-            yield line, one
-
-
 def files(folder: Path) -> list[Path]:
     """The logs in a folder, those below it among them."""
     return sorted(path for path in folder.rglob("*") if path.is_file())
@@ -111,11 +104,16 @@
         yield from file
 
 
+def router_of(folder: Path, path: Path) -> str:
+    """A router goes by its file's name."""
+    return str(path.relative_to(folder).with_suffix(""))
+
+
 def sum_folder(folder: Path) -> Fleet:
-    """The logs of a folder added up; a router goes by its file's name. Raises OSError."""
+    """The logs of a folder added up. Raises OSError."""
     fleet = Fleet()
     for path in files(folder):
-        fleet.add(str(path.relative_to(folder).with_suffix("")), lines_of(path))
+        fleet.add(router_of(folder, path), lines_of(path))
     return fleet
 
 
@@ -131,5 +129,5 @@
             except ValidationError:
                 one = None
             at = one.at if one is not None else 0.0
-            found.append((at, f"{path.relative_to(folder).with_suffix('')}: {line.rstrip()}"))
+            found.append((at, f"{router_of(folder, path)}: {line.rstrip()}"))
     return [line for _, line in sorted(found, key=lambda one: one[0])]
--- a/tests/fleet/test_advice.py
+++ b/tests/fleet/test_advice.py
@@ -105,7 +105,7 @@
         peers.listed(names)
         friend.sendto(word, here)
         assert len((await asyncio.wait_for(heard.get(), 20)).seen) == 2, "the list has changed"
-        assert peers.unread == 2 and heard.empty()
+        assert peers.counts.since["words"]["unread"] == 2 and heard.empty()
         peers.send([api.Seen("s-1", 1, SECOND)])
         assert decode(friend.recv(512), hashes(names)) == [api.Seen("s-1", 1, SECOND)]
         peers.close()
