Routers tell only of servers of which no other has just told, in 3 bytes an answer

Cause: Fleet._tell told every answer seen in its period, whatever others had told of the same server in that period, behind a head of four bytes, in 7 bytes an entry (fleet/advice.py). Change: a router leaves out servers of which another has told since it last told; an entry is half of the name's crc32 and the logarithm of one answer time. What all of them hear of a server then hardly grows with their number.

--- a/rainhitch/fleet/advice.py
+++ b/rainhitch/fleet/advice.py
@@ -1,25 +1,30 @@
-"""Answer times of cache servers as datagrams between routers, without sockets or clocks.
+"""What routers tell one another of the cache servers: a codec without sockets or clocks.
 
-Theory. Forty routers share sixty servers, so that one router hears of a server every few seconds, and what
-all of them hear in one second would tell how it fares. So each tells the others, once a period, what it has
-seen since: for each server how many answers, and their mean time. A datagram holds 256 bytes and may be lost
-or late; nothing is repeated, and what is lost was advice. Servers go by a hash of their name: two that share
-one would be told as one, which happens once in some 2 million lists of sixty.
+Theory. Two hundred routers share as many servers, so that one router hears of a server every ten seconds,
+and what all of them hear in one second would tell how it fares. So each tells the others, once a period, what
+it has seen since and nobody else has told meanwhile: an answer time each. A datagram holds 256 bytes and may
+be lost or late; nothing is repeated, and what is lost was advice. Every byte is paid for at every router that
+hears it, so a server goes by two bytes of a hash of its name, and a time by one, in steps of a twentieth. Two
+servers on a list that share a hash, once in three lists of two hundred, are not told of.
 
-    "RA" | version 1 | entries (1 byte) | each: crc32 of the name, answers (1 byte), mean in 4 ms (2)
+    version 2 (1 byte) | each: half of the crc32 of the name (2 bytes), logarithm of the time (1)
 """
 
+import math
 import struct
+from collections import Counter
 from collections.abc import Iterable
 from zlib import crc32
 
 from rainhitch.interface import Seen
 
 MOST_BYTES = 256
-HEAD, ENTRY = struct.Struct(">2sBB"), struct.Struct(">IBH")
-MAGIC, VERSION = b"RA", 1
-MOST_ENTRIES = (MOST_BYTES - HEAD.size) // ENTRY.size
-UNIT = 4_000_000  # ns
+ENTRY = struct.Struct(">HB")
+VERSION = 0xA2
+MOST_ENTRIES = (MOST_BYTES - 1) // ENTRY.size
+UNIT = 1_000_000  # ns
+STEP = math.log(1.05)
+TIMES = [int(UNIT * math.exp(code * STEP)) for code in range(256)]  # up to four minutes
 
 
 class AdviceError(ValueError):
@@ -27,32 +32,33 @@
 
 
 def encode(seen: Iterable[Seen]) -> bytes:
-    """One datagram; where there is more than it holds, what was seen most often."""
-    told = sorted(seen, key=lambda one: -one.answers)[:MOST_ENTRIES]
-    rows = [
-        ENTRY.pack(crc32(one.server.encode()), min(one.answers, 255), min(one.elapsed // UNIT, 65_535))
-        for one in told
-    ]
-    return HEAD.pack(MAGIC, VERSION, len(rows)) + b"".join(rows)
+    """One datagram; what is more than it holds is left out."""
+    rows = [ENTRY.pack(short(one.server), step(one.elapsed)) for one in list(seen)[:MOST_ENTRIES]]
+    return bytes([VERSION]) + b"".join(rows)
+
+
+def step(elapsed: int) -> int:
+    """The code of a time in ns: the nearest of TIMES."""
+    return min(len(TIMES) - 1, round(math.log(max(1.0, elapsed / UNIT)) / STEP))
 
 
 def decode(data: bytes, names: dict[int, str]) -> list[Seen]:
     """What a datagram tells of the servers that are known here, by the hash of their name."""
-    if len(data) < HEAD.size:
-        raise AdviceError("too short")
-    magic, version, count = HEAD.unpack_from(data)
-    if magic != MAGIC or version != VERSION:
+    if not data or data[0] != VERSION:
         raise AdviceError("not of this kind")
-    if len(data) != HEAD.size + count * ENTRY.size or count > MOST_ENTRIES:
+    if len(data) % ENTRY.size != 1 or len(data) > MOST_BYTES:
         raise AdviceError("its length does not fit")
-    rows = ENTRY.iter_unpack(data[HEAD.size :])
-    return [
-        Seen(names[code], answers, elapsed * UNIT)
-        for code, answers, elapsed in rows
-        if code in names and answers
-    ]
+    rows = ENTRY.iter_unpack(data[1:])
+    return [Seen(names[code], TIMES[at]) for code, at in rows if code in names]
+
+
+def short(name: str) -> int:
+    """The hash that stands for a server's name."""
+    return crc32(name.encode()) >> 16
 
 
 def hashes(names: Iterable[str]) -> dict[int, str]:
-    """The names of the list, by the hash that stands for them."""
-    return {crc32(name.encode()): name for name in names}
+    """The names of the list, by the hash that stands for them; those that share one are left out."""
+    listed = {name: short(name) for name in names}
+    many = Counter(listed.values())
+    return {code: name for name, code in listed.items() if many[code] == 1}
--- a/rainhitch/interface.py
+++ b/rainhitch/interface.py
@@ -168,10 +168,9 @@
 
 @dataclass(slots=True)
 class Seen:
-    """Answers of one server as one router saw them: how many, and their mean time."""
+    """An answer of a server as one router saw it, and its time."""
 
     server: str
-    answers: int
     elapsed: int
 
 
@@ -274,7 +273,7 @@
 
 @dataclass(slots=True)
 class Tell:
-    """Tell the other routers what was seen since the last time."""
+    """Tell the other routers what was seen since the last time and none of them has told."""
 
     seen: list[Seen]
 
--- a/rainhitch/policy/servers.py
+++ b/rainhitch/policy/servers.py
@@ -30,6 +30,7 @@
     down_since: int = 0
     down_until: int = 0
     budget: Bank = field(default_factory=Bank)  # of what it may be sent while it warms up
+    heard_at: int = -SECOND  # when another router last told of it
     share: float = 1.0  # the part of its range that it bears
     cut_at: int = 0
     linked: bool = False  # it took this router's last connect
@@ -83,15 +84,15 @@
         return True
 
     def learn(self, now: int, span: int, elapsed: int, out: int, routers: int) -> None:
-        # Guards against a fleet so wide that answers come seldom: each counts for the time since the last.
-        weight = 1 / 2 if self.trial else min(max((now - self.learned_at) / span, SMOOTHING), 1 / 2)
         self.held += (out - self.held) * SMOOTHING
-        self.take_up(now, elapsed, weight, routers)
+        self.take_up(now, span, elapsed, routers, 1 / 2 if self.trial else SMOOTHING)
         self.trial = False
 
-    def take_up(self, now: int, elapsed: int, weight: float, routers: int) -> None:
-        """An answer time, whoever saw it. Guards against a crowd that stays and is forgotten a bit between
+    def take_up(self, now: int, span: int, elapsed: int, routers: int, least: float = SMOOTHING) -> None:
+        """An answer time, whoever saw it. Guards against a fleet so wide that answers come seldom: each
+        counts for the time since the last. And against a crowd that stays and is forgotten a bit between
         two answers: only a silence longer than an answer time tells that it has gone."""
+        weight = min(max((now - self.learned_at) / span, least), 1 / 2)
         if now - self.learned_at > self.latency * routers:
             self.latency = self.usual(now, routers)
         self.learned_at = now
@@ -123,7 +124,9 @@
         self.heard_at = -(1 << 62)  # when another router's word last came
         self.asks = 0
         self.zones = Zones(turn.settings.connect_timeout)
-        self.seen: dict[str, api.Seen] = {}  # since the other routers were last told
+        self.seen: list[api.Seen] = []  # since the other routers were last told
+        self.told_at = 0  # when they were
+        self.span = 2 * turn.shortest_aim  # ns that an average of answer times holds
 
     def take(self, event: api.Members) -> list[str] | None:
         """Takes up news of the list; gives the sorted ids of the ready cache servers, None if it failed."""
@@ -160,16 +163,19 @@
     def _count(self, server: Server, elapsed: int) -> None:
         """Keeps an answer time for the other routers."""
         if self.turn.settings.tell_every and server is not self.origin:
-            name = server.member.server
-            told = self.seen.setdefault(name, api.Seen(name, 0, 0))
-            told.answers += 1
-            told.elapsed += (elapsed - told.elapsed) // told.answers
+            self.seen.append(api.Seen(server.member.server, elapsed))
 
     def _tell(self, _: Job | None) -> None:
-        """Guards against a fleet in which each router sees a server seldom, and all of them learn late."""
-        if self.seen:
-            self.turn.actions.append(api.Tell(list(self.seen.values())))
-            self.seen = {}
+        """Guards against a fleet in which each router sees a server seldom, and all of them learn late. And
+        against one in which all tell the same: of whom another has told since this one did, all know."""
+        news = [
+            one
+            for one in self.seen
+            if one.server in self.servers and self.servers[one.server].heard_at < self.told_at
+        ]
+        if news:
+            self.turn.actions.append(api.Tell(news))
+        self.seen, self.told_at = [], self.turn.now
         self.turn.later(int(self.turn.settings.tell_every * self.turn.random.uniform(0.75, 1.25)), self._tell)
 
     def heard(self, event: api.Heard) -> None:
@@ -178,7 +184,8 @@
         for one in event.seen:
             server = self.servers.get(one.server)
             if server is not None and server is not self.origin:
-                server.take_up(self.turn.now, one.elapsed, 1 - (1 - SMOOTHING) ** one.answers, 1)
+                server.heard_at = self.turn.now
+                server.take_up(self.turn.now, self.span, one.elapsed, 1)
                 server.bear(self.turn.now, one.elapsed, one.elapsed > self.turn.shortest_aim // 2)
 
     def unheard(self) -> int:
@@ -297,8 +304,7 @@
         # Nor does a server that is out of reach tell how crowded it is.
         silent = status is api.Status.TIMEOUT and not lone and reached
         if full or silent or status is api.Status.OK or (missed and server.trial):
-            span, out = 2 * self.turn.shortest_aim, server.out + 1
-            server.learn(self.turn.now, span, elapsed, out, self.unheard())
+            server.learn(self.turn.now, self.span, elapsed, server.out + 1, self.unheard())
             self._count(server, elapsed)
         if full or silent or answered:
             server.bear(self.turn.now, event.elapsed, elapsed > self.turn.shortest_aim // 2)
