An attempt out for long tells of a jam, and trials are shared by all routers again

Change: an attempt that is out for twice the time expected tells that much, to this router and to the others, until it ends; who has answered what was sent later is not blamed. Trials are paced by all routers.

--- a/rainhitch/policy/balancer.py
+++ b/rainhitch/policy/balancer.py
@@ -156,7 +156,7 @@
         limit, routers = job.spec.aim * SLOW, self.settings.balancers
         if server is None:
             self._give_up(job, "origin" if job.at_origin else "placement")
-        elif job.at_origin and not server.calm(self.turn.now, limit, NO_CROWD, routers):
+        elif job.at_origin and not server.calm(self.turn.now, limit, NO_CROWD, routers, routers):
             self._give_up(job, "origin")
         elif not self._may_send(job, server):
             self._give_up(job, "attempts")
@@ -180,7 +180,7 @@
                 # what is usual in the whole fleet is waited for.
                 usual = max(server.predict(self.turn.now, self.fleet.unheard()), self.fleet.usual)
                 timeout = min(timeout, max(job.spec.aim // 4, int(PATIENCE * usual)))
-        self.fleet.sent(server)
+        self.fleet.sent(server, (job.request.id, job.made))
         job.live[job.made] = (server.member, self.turn.now)
         job.out.add(job.made)
         if self.damper is not None:
--- a/rainhitch/policy/placement.py
+++ b/rainhitch/policy/placement.py
@@ -141,14 +141,15 @@
             return None, False
         return holder, seen is not None
 
-    def _limits(self, job: Job) -> tuple[float, int, int]:
-        """From which answer time, and which times its uncrowded one, a server is swamped for this request."""
+    def _limits(self, job: Job) -> tuple[float, int, int, int]:
+        """From which answer time, and which times its uncrowded one, a server is swamped for this request;
+        and how many routers are unheard, and how many there are."""
         slow, crowd = (SLOW_IF_MARKED, CROWD_IF_MARKED) if job.marked else (SLOW, CROWD)
-        return job.spec.aim * slow, crowd, self.fleet.unheard()
+        return job.spec.aim * slow, crowd, self.fleet.unheard(), self.turn.settings.balancers
 
     def _owner(self, job: Job) -> Server | None:
         """The owner of the key's range, or the next in range order where a departure acts."""
-        limit, crowd, routers = self._limits(job)
+        limits = limit, *_ = self._limits(job)
         hops = passed = 0
         depth, instant, names = self.ranges.locate(job.request.key or job.request.id)
         near = [self.fleet.servers[name] for name in names if name in self.fleet.servers]
@@ -177,7 +178,7 @@
                 passed += server.fails == 0
                 continue
             # Guards against a storm of full answers: work spills once, to a calm server, or is refused.
-            if server.calm(self.turn.now, limit, crowd, routers):
+            if server.calm(self.turn.now, *limits):
                 return server
             # Guards against neighbours that fail together: who is slow with nothing of ours out is passed by.
             hops += server.latency <= limit * server.held
--- a/rainhitch/policy/servers.py
+++ b/rainhitch/policy/servers.py
@@ -9,6 +9,7 @@
 from rainhitch.policy.turn import Turn
 from rainhitch.policy.zones import Zones
 
+LATE = 2  # times its expected answer time after which an attempt that is out tells of its server
 HEARD_FOR = 8  # periods without a word after which the others are taken as unheard
 
 
@@ -69,11 +70,11 @@
         busy = max(1.0, load.qps * load.latency_ms / 1000)  # cores at work, by Little's law
         return load.latency_ms * 1e6 * (load.inflight + 1) / busy
 
-    def calm(self, now: int, limit: float, crowd: int, routers: int) -> bool:
+    def calm(self, now: int, limit: float, crowd: int, unheard: int, routers: int) -> bool:
         """Whether one more request is answered within the limit, and crowd times its uncrowded answer time.
-        A swamped server gets one trial an answer time, to recover: from all routers what a core serves.
-        `routers`: how many send without this one's hearing of it, with itself."""
-        own, reported = self.predict(now, routers), self.reported(now)
+        A swamped server gets one trial an answer time, to recover: from all routers, heard of or not, what
+        a core serves. `unheard`: how many send without this one's hearing of it, with itself."""
+        own, reported = self.predict(now, unheard), self.reported(now)
         # Guards quick servers: a few times next to nothing is no crowd.
         if own <= min(limit, crowd * max(self.base or limit, limit / 16)) and reported <= limit * crowd / 2:
             return True
@@ -126,6 +127,7 @@
         self.zones = Zones(turn.settings.connect_timeout)
         self.seen: list[api.Seen] = []  # since the other routers were last told
         self.told_at = 0  # when they were
+        self.waits: dict[tuple[str, int], tuple[Server, int]] = {}  # attempts that are out: where, since when
         self.span = 2 * turn.shortest_aim  # ns that an average of answer times holds
 
     def take(self, event: api.Members) -> list[str] | None:
@@ -168,6 +170,7 @@
     def _tell(self, _: Job | None) -> None:
         """Guards against a fleet in which each router sees a server seldom, and all of them learn late. And
         against one in which all tell the same: of whom another has told since this one did, all know."""
+        self._overdue()
         news = [
             one
             for one in self.seen
@@ -178,6 +181,17 @@
         self.seen, self.told_at = [], self.turn.now
         self.turn.later(int(self.turn.settings.tell_every * self.turn.random.uniform(0.75, 1.25)), self._tell)
 
+    def _overdue(self) -> None:
+        """Guards against a jam of which all learn last, once its answers come: an attempt that is out for far
+        longer than is expected of its server tells that much of it now."""
+        for server, sent in self.waits.values():
+            age = self.turn.now - sent
+            if age < self.turn.shortest_aim // 8:
+                break  # the others were sent later
+            if sent > server.proved_at and age > LATE * server.usual(self.turn.now, self.unheard()):
+                server.take_up(self.turn.now, self.span, age, self.unheard())
+                self._count(server, age)
+
     def heard(self, event: api.Heard) -> None:
         """Takes up what another router has seen, as if its answers were this one's."""
         self.heard_at = self.turn.now
@@ -195,8 +209,10 @@
         silent = self.turn.now - self.heard_at > HEARD_FOR * settings.tell_every
         return settings.balancers if silent else 1
 
-    def sent(self, server: Server) -> None:
-        """An attempt goes there."""
+    def sent(self, server: Server, attempt: tuple[str, int]) -> None:
+        """An attempt goes there, by its request's id and its number."""
+        if server is not self.origin:
+            self.waits[attempt] = server, self.turn.now
         server.out += 1
         server.sent_at = self.turn.now
         if server is not self.origin:
@@ -259,6 +275,7 @@
 
     def observe(self, event: api.Outcome) -> None:
         """Learns from how an attempt ended."""
+        self.waits.pop((event.id, event.attempt), None)
         server = self.servers.get(event.server)
         if server is None:
             return
--- a/tests/policy/test_balancer.py
+++ b/tests/policy/test_balancer.py
@@ -260,8 +260,8 @@
 
 def test_a_swamped_server_gets_a_trial_an_answer_time() -> None:
     one = Server(api.Member("c"), float(SECOND))
-    assert not one.calm(SECOND // 2, SECOND / 4, 4, 1)
-    assert one.calm(SECOND, SECOND / 4, 4, 1)
+    assert not one.calm(SECOND // 2, SECOND / 4, 4, 1, 1)
+    assert one.calm(SECOND, SECOND / 4, 4, 1, 1)
     one.learn(SECOND, SECOND, SECOND // 10, 1, 1)
     assert one.latency < 0.6 * SECOND, "a trial's answer counts for half"
 
@@ -269,8 +269,8 @@
 def test_trials_of_a_swamped_server_add_up_over_all_routers() -> None:
     """Forty routers with one trial an answer time each were more than a server's whole work."""
     one = Server(api.Member("c"), float(SECOND), base=SECOND / 10)
-    assert not one.calm(2 * SECOND, SECOND / 4, 4, 40)
-    assert one.calm(4 * SECOND, SECOND / 4, 4, 40)
+    assert not one.calm(2 * SECOND, SECOND / 4, 4, 40, 40)
+    assert one.calm(4 * SECOND, SECOND / 4, 4, 40, 40)
 
 
 def test_a_first_answer_is_waited_for_by_what_is_usual_in_the_fleet() -> None:
@@ -488,9 +488,9 @@
 def test_a_trial_that_is_out_stays_one() -> None:
     """Guards against a long memory of a jam: its answer counts half, whoever asked meanwhile."""
     tested = Server(api.Member("c"), 4.0 * SECOND)
-    assert tested.calm(START, SECOND, 4, 1) and tested.trial
+    assert tested.calm(START, SECOND, 4, 1, 1) and tested.trial
     tested.out, tested.sent_at = 1, START
-    assert not tested.calm(START, SECOND, 4, 1)
+    assert not tested.calm(START, SECOND, 4, 1, 1)
     tested.learn(START, SECOND, 0, 1, 1)
     assert tested.latency == 2 * SECOND
 
--- a/tests/policy/test_crowds.py
+++ b/tests/policy/test_crowds.py
@@ -18,14 +18,14 @@
 def test_a_crowd_is_forgotten_in_the_time_in_which_it_is_served() -> None:
     """Guards against the collapse of an idle fleet: each server's last answer was slow, nobody asks again,
     and so it stays slow in all routers' eyes."""
-    assert not crowded().calm(START + SECOND // 10, SECOND, 4, 1)
-    assert crowded().calm(START + SECOND, SECOND, 4, 1)
+    assert not crowded().calm(START + SECOND // 10, SECOND, 4, 1, 1)
+    assert crowded().calm(START + SECOND, SECOND, 4, 1, 1)
     assert not crowded().trial, "it is calm, not on trial"
 
 
 def test_others_who_are_not_heard_may_keep_a_crowd_up() -> None:
-    assert not crowded(out=1).calm(START + SECOND, SECOND, 4, 60)
-    assert crowded(out=1).calm(START + 60 * SECOND, SECOND, 4, 60)
+    assert not crowded(out=1).calm(START + SECOND, SECOND, 4, 60, 60)
+    assert crowded(out=1).calm(START + 60 * SECOND, SECOND, 4, 60, 60)
 
 
 def test_a_server_that_was_never_seen_idle_keeps_its_answer_time() -> None:
@@ -58,6 +58,71 @@
     assert router.balancer.fleet.unheard() == unheard
 
 
+@pytest.mark.parametrize("routers", [1, 60])
+def test_trials_of_a_swamped_server_are_shared_by_all_routers_also_while_their_words_come(
+    routers: int,
+) -> None:
+    """Guards against a trial an answer time from each router: at sixty they were a third of all that swamped
+    servers were sent, and kept them swamped."""
+    router = Router(settings(tell_every=200 * MILLI, balancers=routers), fleet(1))
+    server = router.balancer.fleet.servers["c0"]
+    server.base, server.latency, server.learned_at = SECOND / 10, 2 * SECOND, router.now
+    tried = 0
+    for _ in range(300):
+        router.wait(200 * MILLI)
+        router.tell(api.Heard([api.Seen("c0", 2 * SECOND)]))
+        _, actions = router.ask("k")
+        for send in actions:
+            if isinstance(send, api.Send):
+                tried += 1
+                router.now += 1
+                server.trial = False
+                router.tell(api.Outcome(send.id, 0, send.server, S.MOOT, False, 1))
+    assert (20 if routers == 1 else 1) <= tried <= (60 if routers == 1 else 10)
+
+
+def late_fleet() -> tuple[Router, api.Send, Server]:
+    """A router that tells others, with one attempt out at a server known to answer in 100 ms."""
+    router = Router(settings(tell_every=200 * MILLI, balancers=60), fleet(2))
+    router.tell(api.Heard([api.Seen(f"c{n}", SECOND // 10) for n in (0, 1)]))
+    _, (send,) = router.ask("k")
+    assert isinstance(send, api.Send)
+    return router, send, router.balancer.fleet.servers[send.server]
+
+
+def times_told(actions: list[api.Action], name: str) -> list[int]:
+    told = [seen for one in actions if isinstance(one, api.Tell) for seen in one.seen]
+    return [seen.elapsed for seen in told if seen.server == name]
+
+
+def test_an_attempt_that_is_out_for_long_tells_of_a_jam_before_its_answer_comes() -> None:
+    """Guards against a jam of which all learn once its answers come, seconds late: on calm days of sixty
+    routers, answers took four times what was expected when the requests were sent."""
+    router, send, server = late_fleet()
+    before = server.latency
+    assert times_told(router.wait(150 * MILLI), send.server) == [] and server.latency == before
+    told = times_told(router.wait(1500 * MILLI), send.server)
+    assert told and max(told) > SECOND and server.latency > 2 * before
+    router.end(send, S.OK, 0, 1650 * MILLI)
+    assert len(times_told(router.wait(3 * SECOND), send.server)) == 1, "its answer, and no more of its wait"
+    assert not router.balancer.fleet.waits
+
+
+def test_an_attempt_within_what_is_expected_tells_nothing() -> None:
+    router, send, server = late_fleet()
+    server.latency = server.base = float(SECOND)
+    assert times_told(router.wait(1500 * MILLI), send.server) == []
+
+
+def test_a_silent_connection_to_a_server_that_answers_others_tells_nothing() -> None:
+    """Guards against one lost answer taken for a jam: what was sent later has been answered."""
+    router, send, server = late_fleet()
+    router.wait(50 * MILLI)
+    router.tell(api.Outcome("x", 0, send.server, S.OK, True, 20 * MILLI))
+    router.wait(400 * MILLI)
+    assert times_told(router.wait(1500 * MILLI), send.server) == [] and server.latency < SECOND / 8
+
+
 def test_a_full_connection_table_tells_nothing_of_load_and_is_passed_by() -> None:
     """Guards against tables smaller than the fleet: each newcomer that is turned away made the server look
     swamped to all routers, and after two of them a request was refused while servers idled."""
