One lost answer is no jam where anybody's later attempt there has been answered

Change: a word says whether its time is an answer's or that of an attempt that is out (one bit; times in steps of a tenth); another's answer proves the server as one's own does, for overdue attempts and for time-outs.

--- a/rainhitch/fleet/advice.py
+++ b/rainhitch/fleet/advice.py
@@ -2,12 +2,13 @@
 
 Theory. Two hundred routers share as many servers, so that one router hears of a server every ten seconds,
 and what all of them hear in one second would tell how it fares. So each tells the others, once a period, what
-it has seen since and nobody else has told meanwhile: an answer time each. A datagram holds 256 bytes and may
-be lost or late; nothing is repeated, and what is lost was advice. Every byte is paid for at every router that
-hears it, so a server goes by two bytes of a hash of its name, and a time by one, in steps of a twentieth. Two
-servers on a list that share a hash, once in three lists of two hundred, are not told of.
+it has seen since and nobody else has told meanwhile: an answer's time each, or how long an attempt has been
+out that is overdue. A datagram holds 256 bytes and may be lost or late; nothing is repeated, and what is lost
+was advice. Every byte is paid for at every router that hears it, so a server goes by two bytes of a hash of
+its name, and a time by seven bits, in steps of a tenth. Two servers on a list that share a hash, once in
+three lists of two hundred, are not told of.
 
-    version 2 (1 byte) | each: half of the crc32 of the name (2 bytes), logarithm of the time (1)
+    version 2 (1 byte) | each: half of the crc32 of the name (2 bytes), whether it is out and logarithm (1)
 """
 
 import math
@@ -23,8 +24,8 @@
 VERSION = 0xA2
 MOST_ENTRIES = (MOST_BYTES - 1) // ENTRY.size
 UNIT = 1_000_000  # ns
-STEP = math.log(1.05)
-TIMES = [int(UNIT * math.exp(code * STEP)) for code in range(256)]  # up to four minutes
+STEP = math.log(1.1)
+TIMES = [int(UNIT * math.exp(code * STEP)) for code in range(128)]  # up to three minutes
 
 
 class AdviceError(ValueError):
@@ -33,7 +34,9 @@
 
 def encode(seen: Iterable[Seen]) -> bytes:
     """One datagram; what is more than it holds is left out."""
-    rows = [ENTRY.pack(short(one.server), step(one.elapsed)) for one in list(seen)[:MOST_ENTRIES]]
+    rows = [
+        ENTRY.pack(short(one.server), step(one.elapsed) | one.out << 7) for one in list(seen)[:MOST_ENTRIES]
+    ]
     return bytes([VERSION]) + b"".join(rows)
 
 
@@ -49,7 +52,7 @@
     if len(data) % ENTRY.size != 1 or len(data) > MOST_BYTES:
         raise AdviceError("its length does not fit")
     rows = ENTRY.iter_unpack(data[1:])
-    return [Seen(names[code], TIMES[at]) for code, at in rows if code in names]
+    return [Seen(names[code], TIMES[at & 127], at > 127) for code, at in rows if code in names]
 
 
 def short(name: str) -> int:
--- a/rainhitch/interface.py
+++ b/rainhitch/interface.py
@@ -168,10 +168,11 @@
 
 @dataclass(slots=True)
 class Seen:
-    """An answer of a server as one router saw it, and its time."""
+    """An answer of a server as one router saw it, and its time; or how long an attempt there has been out."""
 
     server: str
     elapsed: int
+    out: bool = False  # no answer has come
 
 
 @dataclass(slots=True)
--- a/rainhitch/policy/servers.py
+++ b/rainhitch/policy/servers.py
@@ -162,10 +162,10 @@
         if self.turn.settings.tell_every:
             self.turn.later(int(self.turn.settings.tell_every * self.turn.random.random()), self._tell)
 
-    def _count(self, server: Server, elapsed: int) -> None:
-        """Keeps an answer time for the other routers."""
+    def _count(self, server: Server, elapsed: int, out: bool = False) -> None:
+        """Keeps an answer time for the other routers, or how long an attempt has been out."""
         if self.turn.settings.tell_every and server is not self.origin:
-            self.seen.append(api.Seen(server.member.server, elapsed))
+            self.seen.append(api.Seen(server.member.server, elapsed, out))
 
     def _tell(self, _: Job | None) -> None:
         """Guards against a fleet in which each router sees a server seldom, and all of them learn late. And
@@ -183,14 +183,15 @@
 
     def _overdue(self) -> None:
         """Guards against a jam of which all learn last, once its answers come: an attempt that is out for far
-        longer than is expected of its server tells that much of it now."""
+        longer than is expected of its server tells that much of it now. And against one answer that was lost,
+        taken for a jam: a server that has answered anybody's later attempt is none."""
         for server, sent in self.waits.values():
             age = self.turn.now - sent
             if age < self.turn.shortest_aim // 8:
                 break  # the others were sent later
             if sent > server.proved_at and age > LATE * server.usual(self.turn.now, self.unheard()):
                 server.take_up(self.turn.now, self.span, age, self.unheard())
-                self._count(server, age)
+                self._count(server, age, True)
 
     def heard(self, event: api.Heard) -> None:
         """Takes up what another router has seen, as if its answers were this one's."""
@@ -199,6 +200,9 @@
             server = self.servers.get(one.server)
             if server is not None and server is not self.origin:
                 server.heard_at = self.turn.now
+                if not one.out:
+                    sent = self.turn.now - one.elapsed - self.turn.settings.tell_every
+                    server.proved_at = max(server.proved_at, sent)
                 server.take_up(self.turn.now, self.span, one.elapsed, 1)
                 server.bear(self.turn.now, one.elapsed, one.elapsed > self.turn.shortest_aim // 2)
 
--- a/tests/policy/test_crowds.py
+++ b/tests/policy/test_crowds.py
@@ -123,6 +123,22 @@
     assert times_told(router.wait(1500 * MILLI), send.server) == [] and server.latency < SECOND / 8
 
 
+@pytest.mark.parametrize("out", [False, True])
+def test_one_lost_answer_is_no_jam_where_another_router_has_had_a_later_one(out: bool) -> None:
+    """Guards against answers that are lost on the way: each was told of until its time was up, by a router
+    that sees the server seldom, and three in four healthy servers were used no more."""
+    router, send, server = late_fleet()
+    router.wait(600 * MILLI)
+    server.latency, server.base = SECOND / 10, SECOND / 10
+    for _ in range(6):
+        router.tell(api.Heard([api.Seen(send.server, SECOND // 10, out)]))
+        router.wait(200 * MILLI)
+    assert (server.latency > SECOND / 5) is out
+    jammed = server.latency
+    router.end(send, S.TIMEOUT, 0, 1800 * MILLI)
+    assert (server.latency > jammed) is out, "nor is its time-out one"
+
+
 def test_a_full_connection_table_tells_nothing_of_load_and_is_passed_by() -> None:
     """Guards against tables smaller than the fleet: each newcomer that is turned away made the server look
     swamped to all routers, and after two of them a request was refused while servers idled."""
