Silence is told as no jam, and a read whose answer is proven lost is ended and sent elsewhere

Cause: Fleet._overdue took any attempt without an answer for a crowd, also where its server answered nobody (a cut, a silent server), and the estimate stayed high after the cut. Change: an overdue attempt tells only where its server has answered since, to anybody, what was sent before; only while others are heard. A safe read whose server has answered what was sent four expected times later is ended (api.Stop) and goes on. What is worth telling is decided in fleet/words.py, out of the policy files.

--- a/rainhitch/fleet/peers.py
+++ b/rainhitch/fleet/peers.py
@@ -7,6 +7,7 @@
 
 from rainhitch import interface as api
 from rainhitch.fleet.advice import AdviceError, decode, encode, hashes
+from rainhitch.fleet.words import Words
 from rainhitch.node.pool import Endpoint
 from rainhitch.telemetry.counts import Counts
 
@@ -26,6 +27,7 @@
         self.tell = tell
         self.transport: asyncio.DatagramTransport | None = None
         self.known: dict[int, str] = {}  # the listed servers, by the hash that stands for them
+        self.words = Words()
         self.counts = Counts()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -42,6 +44,7 @@
             return
         self.counts.add("words", "heard")
         if seen:
+            self.words.heard(seen)
             self.tell(api.Heard(seen))
 
     def listed(self, names: Iterable[str]) -> None:
@@ -52,8 +55,10 @@
         """A peer that is down refuses a datagram: that is nothing to this one."""
 
     def send(self, seen: list[api.Seen]) -> None:
-        if self.transport is not None and not self.transport.is_closing():
-            data = encode(seen)
+        """Tells what the others have not told; called once a period, whether or not anything was seen."""
+        news = self.words.worth(seen)
+        if news and self.transport is not None and not self.transport.is_closing():
+            data = encode(news)
             self.counts.add("words", "told")
             self.counts.add("words", "bytes", len(data))
             self.transport.sendto(data, self.everyone)
--- a/rainhitch/interface.py
+++ b/rainhitch/interface.py
@@ -274,12 +274,20 @@
 
 @dataclass(slots=True)
 class Tell:
-    """Tell the other routers what was seen since the last time and none of them has told."""
+    """Tell the other routers what was seen since the last time; once a period, also where that is nothing."""
 
     seen: list[Seen]
 
 
-Action = Send | Refuse | Fail | Wake | Watch | Log | Tell
+@dataclass(slots=True)
+class Stop:
+    """End this attempt if it is out, as if its time were up."""
+
+    id: str
+    attempt: int
+
+
+Action = Send | Stop | Refuse | Fail | Wake | Watch | Log | Tell
 
 
 class Verdict(Enum):
--- a/rainhitch/node/driver.py
+++ b/rainhitch/node/driver.py
@@ -193,6 +193,10 @@
         match action:
             case api.Send():
                 self._send(action)
+            case api.Stop():
+                held = self.held.get(action.id)
+                if held is not None and held.attempt is not None and held.attempt.number == action.attempt:
+                    self._timeout(held.attempt)
             case api.Refuse() | api.Fail():
                 held = self.held.get(action.id)
                 if held is not None and held.open:
--- a/rainhitch/policy/balancer.py
+++ b/rainhitch/policy/balancer.py
@@ -180,7 +180,8 @@
                 # what is usual in the whole fleet is waited for.
                 usual = max(server.predict(self.turn.now, self.fleet.unheard()), self.fleet.usual)
                 timeout = min(timeout, max(job.spec.aim // 4, int(PATIENCE * usual)))
-        self.fleet.sent(server, (job.request.id, job.made))
+        safe = job.spec.effect is api.Effect.SAFE and not job.spec.stream
+        self.fleet.sent(server, (job.request.id, job.made), safe)
         job.live[job.made] = (server.member, self.turn.now)
         job.out.add(job.made)
         if self.damper is not None:
--- a/rainhitch/policy/servers.py
+++ b/rainhitch/policy/servers.py
@@ -10,6 +10,7 @@
 from rainhitch.policy.zones import Zones
 
 LATE = 2  # times its expected answer time after which an attempt that is out tells of its server
+LOST = 4  # times it by which an answered attempt was sent later, so that it is lost; a mean there leaves e^-4
 HEARD_FOR = 8  # periods without a word after which the others are taken as unheard
 
 
@@ -31,7 +32,6 @@
     down_since: int = 0
     down_until: int = 0
     budget: Bank = field(default_factory=Bank)  # of what it may be sent while it warms up
-    heard_at: int = -SECOND  # when another router last told of it
     share: float = 1.0  # the part of its range that it bears
     cut_at: int = 0
     linked: bool = False  # it took this router's last connect
@@ -126,8 +126,9 @@
         self.asks = 0
         self.zones = Zones(turn.settings.connect_timeout)
         self.seen: list[api.Seen] = []  # since the other routers were last told
-        self.told_at = 0  # when they were
-        self.waits: dict[tuple[str, int], tuple[Server, int]] = {}  # attempts that are out: where, since when
+        self.waits: dict[
+            tuple[str, int], tuple[Server, int, bool]
+        ] = {}  # out: where, since when, safe to repeat
         self.span = 2 * turn.shortest_aim  # ns that an average of answer times holds
 
     def take(self, event: api.Members) -> list[str] | None:
@@ -168,30 +169,27 @@
             self.seen.append(api.Seen(server.member.server, elapsed, out))
 
     def _tell(self, _: Job | None) -> None:
-        """Guards against a fleet in which each router sees a server seldom, and all of them learn late. And
-        against one in which all tell the same: of whom another has told since this one did, all know."""
-        self._overdue()
-        news = [
-            one
-            for one in self.seen
-            if one.server in self.servers and self.servers[one.server].heard_at < self.told_at
-        ]
-        if news:
-            self.turn.actions.append(api.Tell(news))
-        self.seen, self.told_at = [], self.turn.now
+        """Guards against a fleet in which each router sees a server seldom, and all of them learn late."""
+        if self.unheard() == 1:
+            self._overdue()
+        self.turn.actions.append(api.Tell(self.seen))
+        self.seen = []
         self.turn.later(int(self.turn.settings.tell_every * self.turn.random.uniform(0.75, 1.25)), self._tell)
 
     def _overdue(self) -> None:
-        """Guards against a jam of which all learn last, once its answers come: an attempt that is out for far
-        longer than is expected of its server tells that much of it now. And against one answer that was lost,
-        taken for a jam: a server that has answered anybody's later attempt is none."""
-        for server, sent in self.waits.values():
-            age = self.turn.now - sent
+        """Guards against a jam of which all learn last, once its answers come: an attempt that is out for
+        far longer than is expected of its server tells that much of it now. And against silence taken for a
+        jam, in which a server goes on answering what was sent before. Where it has answered, to anybody,
+        what was sent much later, the answer is lost: that attempt is ended, to be sent elsewhere."""
+        for attempt, (server, sent, safe) in self.waits.items():
+            age, usual = self.turn.now - sent, server.usual(self.turn.now, 1)
             if age < self.turn.shortest_aim // 8:
                 break  # the others were sent later
-            if sent > server.proved_at and age > LATE * server.usual(self.turn.now, self.unheard()):
-                server.take_up(self.turn.now, self.span, age, self.unheard())
+            if server.answered_at > sent > server.proved_at and age > LATE * usual:
+                server.take_up(self.turn.now, self.span, age, 1)
                 self._count(server, age, True)
+            elif safe and server.proved_at - sent > LOST * usual:
+                self.turn.actions.append(api.Stop(*attempt))
 
     def heard(self, event: api.Heard) -> None:
         """Takes up what another router has seen, as if its answers were this one's."""
@@ -199,10 +197,9 @@
         for one in event.seen:
             server = self.servers.get(one.server)
             if server is not None and server is not self.origin:
-                server.heard_at = self.turn.now
                 if not one.out:
                     sent = self.turn.now - one.elapsed - self.turn.settings.tell_every
-                    server.proved_at = max(server.proved_at, sent)
+                    server.proved_at, server.answered_at = max(server.proved_at, sent), self.turn.now
                 server.take_up(self.turn.now, self.span, one.elapsed, 1)
                 server.bear(self.turn.now, one.elapsed, one.elapsed > self.turn.shortest_aim // 2)
 
@@ -213,10 +210,10 @@
         silent = self.turn.now - self.heard_at > HEARD_FOR * settings.tell_every
         return settings.balancers if silent else 1
 
-    def sent(self, server: Server, attempt: tuple[str, int]) -> None:
+    def sent(self, server: Server, attempt: tuple[str, int], safe: bool) -> None:
         """An attempt goes there, by its request's id and its number."""
         if server is not self.origin:
-            self.waits[attempt] = server, self.turn.now
+            self.waits[attempt] = server, self.turn.now, safe
         server.out += 1
         server.sent_at = self.turn.now
         if server is not self.origin:
