A test of who is turned away leaves no room at need, on a slow machine either

Cause: the test lifted idle_s alone, but a newcomer sends off who has been idle for the lesser of idle_s and at_need_s (node/clients.py, _retire_one at 83), 25 ms, which a loaded machine takes between two callers. Change: both are lifted.

--- a/tests/node/test_hostile.py
+++ b/tests/node/test_hostile.py
@@ -460,7 +460,7 @@
 async def test_who_is_turned_away_hears_it_even_with_a_command_on_the_way() -> None:
     """A reset would overtake the answer: the client then has none, though its command was taken."""
     async with router(sockets=1) as bench:
-        bench.clients.idle_s = 3600.0  # a slow machine makes no room for the late
+        bench.clients.idle_s = bench.clients.at_need_s = 3600.0  # a slow machine makes no room for the late
         await (await bench.caller()).answer_to_ping()
         for n in range(20):
             late = await bench.caller()
