--- a/rainhitch/admin/calls.py
+++ b/rainhitch/admin/calls.py
@@ -8,7 +8,7 @@
 
 MOST_LINE = 512  # bytes of a call
 WITH_ID = ("cordon", "uncordon")
-ALONE = ("health", "counters", "quiesce", "resume")
+ALONE = ("health", "counters", "quiesce", "resume", "routers")
 
 
 class RefusedError(Exception):
@@ -36,6 +36,9 @@
     def resume(self) -> str:
         """Takes clients again."""
 
+    def routers(self) -> str:
+        """What this router believes of the others and shares with them: one JSON object."""
+
 
 def answer(line: bytes, hands: Hands) -> bytes:
     """The whole answer to a call, with its line ends; nothing in it can break the form."""
--- a/rainhitch/admin/desk.py
+++ b/rainhitch/admin/desk.py
@@ -8,7 +8,7 @@
 from rainhitch.admin.calls import MOST_LINE, Hands, answer
 
 PATIENCE = 6.0  # s that a caller may take over its line
-READS = (b"health", b"counters")  # calls that change nothing, and are not logged
+READS = (b"health", b"counters", b"routers")  # calls that change nothing, and are not logged
 MOST = 32  # callers at once; beyond it the one that has said nothing for longest goes
 log = logging.getLogger("rainhitch")
 
--- a/rainhitch/admin/hands.py
+++ b/rainhitch/admin/hands.py
@@ -1,5 +1,10 @@
 """What the calls of the second address do to this router."""
 
+from collections.abc import Callable
+from typing import Any
+
+import orjson
+
 from rainhitch.admin.calls import RefusedError
 from rainhitch.admin.cordons import Cordons
 from rainhitch.interface import State
@@ -7,6 +12,8 @@
 from rainhitch.node.discovery import Directory
 from rainhitch.node.driver import Driver
 
+Json = dict[str, Any]
+
 
 class Steward:
     """The router as the second address sees it; the cordons' folder is shared with an upgrade's process."""
@@ -17,6 +24,12 @@
         self.driver, self.clients, self.directory = driver, clients, directory
         self.cordons = Cordons(folder, identity, directory.cordon)
         self.stopping = False
+        self.believes: Callable[[], Json] | None = None  # where other routers are told and heard
+
+    def routers(self) -> str:
+        if self.believes is None:
+            raise RefusedError("no word with other routers")
+        return orjson.dumps(self.believes()).decode()
 
     def health(self) -> str:
         if self.stopping:
--- a/rainhitch/cli/__init__.py
+++ b/rainhitch/cli/__init__.py
@@ -16,6 +16,7 @@
         "rainhitch.cli.members",
         "the list of servers in etcd: show it, watch it, drain, retire, restore, put",
     ),
+    "fleet": ("rainhitch.cli.fleet", "what each router believes of the others and shares, side by side"),
     "logs": ("rainhitch.cli.logs", "add up what a fleet's routers wrote down, or follow one request"),
     "schema": ("rainhitch.cli.schema", "the JSON Schema of a file that operators write"),
     "plan": ("rainhitch.cli.plan", "what a change of the list would move and cost, told ahead"),
--- a/rainhitch/fleet/peers.py
+++ b/rainhitch/fleet/peers.py
@@ -1,69 +1,95 @@
-"""The datagrams between routers: out to all of them, in from those that the configuration names."""
+"""The datagrams between routers: out to all of them or to one, in from those that the configuration names. A
+host: what is told and believed is decided in exchange.py.
+"""
 
 import asyncio
 import logging
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Sequence
 from typing import cast
 
 from rainhitch import interface as api
-from rainhitch.fleet.advice import AdviceError, decode, encode, hashes
-from rainhitch.fleet.words import Words
-from rainhitch.node.pool import Endpoint
+from rainhitch import system
+from rainhitch.fleet.exchange import EVERYONE, STEP, Exchange, Json, Sent, WordError
+from rainhitch.interface import Endpoint
 from rainhitch.telemetry.counts import Counts
 
 log = logging.getLogger("rainhitch")
 
 
 class Peers(asyncio.DatagramProtocol):
-    """This router's end. `tell` takes what was heard of the listed servers."""
+    """This router's end. `peers` in the order of the routers' numbers; `tell` takes what is believed."""
 
     def __init__(
         self,
-        peers: Iterable[Endpoint],
+        exchange: Exchange,
+        peers: Sequence[Endpoint],
         everyone: Endpoint,
-        tell: Callable[[api.Heard], None],
+        tell: Callable[[api.Heard | api.Part], None],
     ) -> None:
-        self.peers, self.everyone = frozenset(peers), everyone
-        self.tell = tell
+        self.exchange, self.peers, self.everyone, self.tell = exchange, peers, everyone, tell
+        self.numbers = {one: number for number, one in enumerate(peers)}
         self.transport: asyncio.DatagramTransport | None = None
-        self.known: dict[int, str] = {}  # the listed servers, by the hash that stands for them
-        self.words = Words()
+        self.closed = False
+        self.loop = asyncio.get_running_loop()
+        self.now = system.of(self.loop).now
         self.counts = Counts()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.DatagramTransport, transport)
+        self._step()
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Guards the decisions against who is no peer and against what can't be read: counted, no more."""
+        sender = self.numbers.get((addr[0], addr[1]))
         try:
-            if (addr[0], addr[1]) not in self.peers:
-                raise AdviceError("from no peer")
-            seen = decode(data, self.known)
-        except AdviceError:
+            if sender is None:
+                raise WordError("from no peer")
+            heard = self.exchange.heard(self.now(), sender, data)
+        except WordError:
             self.counts.add("words", "unread")
             return
         self.counts.add("words", "heard")
-        if seen:
-            self.words.heard(seen)
-            self.tell(api.Heard(seen))
+        self._send(heard.sent)
+        if heard.seen:
+            self.tell(api.Heard(heard.seen))
 
-    def listed(self, names: Iterable[str]) -> None:
+    def listed(self, names: list[str]) -> None:
         """The list has changed."""
-        self.known = hashes(names)
+        self.exchange.listed(names)
 
     def error_received(self, exc: Exception) -> None:
         """A peer that is down refuses a datagram: that is nothing to this one."""
 
     def send(self, seen: list[api.Seen]) -> None:
         """Tells what the others have not told; called once a period, whether or not anything was seen."""
-        news = self.words.worth(seen)
-        if news and self.transport is not None and not self.transport.is_closing():
-            data = encode(news)
+        data = self.exchange.tell(self.now(), seen)
+        if data:
+            self._send([(EVERYONE, data)])
+
+    def _step(self) -> None:
+        if self.transport is None or self.transport.is_closing():
+            return
+        now = self.now()
+        self._send(self.exchange.step(now))
+        part = self.exchange.part(now)
+        if part is not None:
+            self.tell(part)
+        self.loop.call_later(STEP / 1e9, self._step)
+
+    def _send(self, sent: Sent) -> None:
+        if self.transport is None or self.transport.is_closing():
+            return
+        for to, data in sent:
             self.counts.add("words", "told")
             self.counts.add("words", "bytes", len(data))
-            self.transport.sendto(data, self.everyone)
+            self.transport.sendto(data, self.everyone if to == EVERYONE else self.peers[to])
+
+    def believes(self) -> Json:
+        """What this router believes of the others now."""
+        return self.exchange.state(self.now())
 
     def close(self) -> None:
+        self.closed = True
         if self.transport is not None:
             self.transport.abort()
 
--- a/rainhitch/interface.py
+++ b/rainhitch/interface.py
@@ -8,6 +8,7 @@
 from enum import Enum, StrEnum
 from typing import Protocol
 
+Endpoint = tuple[str, int]  # an address: host, port
 MOVE_SHARE = 0.25  # of what the origin is sent besides, for keys that move to another server
 
 
@@ -31,6 +32,7 @@
     CANCELLED = "cancelled"
     MOOT = "moot"
     MISS = "miss"
+    NO_ROOM = "room"  # the router itself could open no more connections
 
 
 class State(StrEnum):
@@ -182,6 +184,20 @@
     seen: list[Seen]
 
 
+@dataclass(slots=True)
+class Part:
+    """This router's part of what all routers take in of each customer, 0 to 1, as their counts tell it; one
+    for all where there is one only. Known for so long."""
+
+    parts: list[float]
+    span: int
+
+
+@dataclass(slots=True)
+class Round:
+    """A period between routers is over: what was seen in it is to be told."""
+
+
 @dataclass(slots=True)
 class Withdrawn:
     """The client has left; nothing more is owed."""
@@ -222,7 +238,20 @@
     keys: list[str] | None
 
 
-Event = Voided | Members | Request | Opened | Outcome | Withdrawn | Alarm | Probed | PeerMessage | Heard
+Event = (
+    Voided
+    | Members
+    | Request
+    | Opened
+    | Outcome
+    | Withdrawn
+    | Alarm
+    | Probed
+    | PeerMessage
+    | Heard
+    | Part
+    | Round
+)
 
 
 @dataclass(slots=True)
--- a/rainhitch/node/client.py
+++ b/rainhitch/node/client.py
@@ -117,7 +117,8 @@
             self.transport.close()
 
     def data_received(self, data: bytes) -> None:
-        self.waited = self._lay_unread() if self.mute or self.server.crowded() else 0
+        back = self.server.driver.away.back(self.server.system.now())
+        self.waited = self._lay_unread() if self.mute or back or self.server.crowded() else 0
         self.mute = False
         if self.turned:
             self._heard_out(data)
--- a/rainhitch/node/configuration.py
+++ b/rainhitch/node/configuration.py
@@ -7,9 +7,8 @@
 
 import orjson
 
-from rainhitch.interface import Settings
+from rainhitch.interface import Endpoint, Settings
 from rainhitch.node.discovery import ListError, read_endpoint
-from rainhitch.node.pool import Endpoint
 from rainhitch.node.session import OPEN, Gate
 from rainhitch.settings import (
     Ceilings,
@@ -36,8 +35,9 @@
     """Where this router hears the others, and where they are."""
 
     listen: Endpoint
-    peers: list[Endpoint]
+    peers: list[Endpoint]  # of all routers, in the order of their numbers
     everyone: Endpoint
+    me: int = -1  # this router's number; -1: not told
 
 
 @dataclass(slots=True)
@@ -123,7 +123,9 @@
     peers = [read_endpoint(one) for one in listed]
     if len(peers) < 2:
         return None
-    return Peering(read_endpoint(told["peer_listen"]), peers, read_endpoint(told["peers_all"]))
+    me = info.get("me")
+    me = me if type(me) is int and 0 <= me < len(peers) else -1
+    return Peering(read_endpoint(told["peer_listen"]), peers, read_endpoint(told["peers_all"]), me)
 
 
 def read_inherited() -> int | None:
--- a/rainhitch/node/discovery.py
+++ b/rainhitch/node/discovery.py
@@ -10,9 +10,10 @@
 import orjson
 
 from rainhitch import interface as api
+from rainhitch.interface import Endpoint
 from rainhitch.node.caches import CacheConnection
 from rainhitch.node.origin import OriginConnection
-from rainhitch.node.pool import Endpoint, Pools
+from rainhitch.node.pool import Pools
 from rainhitch.protocol.http1 import Answer, Http, HttpError
 from rainhitch.settings import Json, Names
 from rainhitch.telemetry.counts import Counts
--- a/rainhitch/node/driver.py
+++ b/rainhitch/node/driver.py
@@ -10,6 +10,7 @@
 from rainhitch import interface as api
 from rainhitch import system
 from rainhitch.admin.figures import Tally
+from rainhitch.fleet.away import BEAT, SETTLE, Away
 from rainhitch.node.call import Call, Ending, Exchange
 from rainhitch.node.pool import Connection, Pool, Pools
 from rainhitch.node.relay import Relay, Source
@@ -79,9 +80,13 @@
         self.customers: dict[int, str] = defaultdict(str)  # their names, by number
         self.watch: Callable[[], None] = lambda: None
         self.tell_peers: Callable[[list[api.Seen]], None] = lambda seen: None
+        self.took: Callable[[int], None] = lambda customer: None  # a request was taken
+        self.away = Away(self.now())
+        self.loop.call_later(BEAT / SECOND, self._beat)
         self.stop_at = 0  # when all must be answered, once the router is told to stop
         self._events: deque[api.Event] = deque()
         self._playing = False
+        self._settling = False  # back from an absence: nothing is acted on before the sockets are read
         self._voided: dict[str, list[str] | None] = {}
 
     def take(self, call: Call, place: Place) -> Held | None:
@@ -105,6 +110,7 @@
         self.held_bytes += call.size
         self.tally.active += 1
         self.counts.taken += 1
+        self.took(call.tenant)
         held.guard = self.loop.call_at((until - WAY_BACK // 2) / SECOND, self._overdue, held)
         key = call.key.decode("latin-1")
         write = call.value is not None
@@ -139,7 +145,7 @@
     def members(self, event: api.Members) -> None:
         self._tell(event)
 
-    def heard(self, event: api.Heard) -> None:
+    def heard(self, event: api.Heard | api.Part | api.Round) -> None:
         self._tell(event)
 
     def stop(self, by: float) -> None:
@@ -160,9 +166,13 @@
 
     def _tell(self, event: api.Event) -> None:
         """Plays an event, and then those that its actions bring about, in order."""
+        self._notice(self.now())
         self._events.append(event)
-        if self._playing:
+        if self._playing or self._settling:
             return
+        self._play_all()
+
+    def _play_all(self) -> None:
         self._playing = True
         try:
             while self._events:
@@ -170,6 +180,29 @@
         finally:
             self._playing = False
 
+    def _beat(self) -> None:
+        self._notice(self.now())
+        self.loop.call_later(BEAT / SECOND, self._beat)
+
+    def _notice(self, now: int) -> None:
+        """Guards servers against a router that was stopped and comes back: its timers come before its
+        sockets are read, and would send for clients that have left."""
+        gap = self.away.beat(now)
+        if gap:
+            log.warning("away for %.1f s", gap / SECOND)
+            self.counts.add("away", "times")
+            self.counts.add("away", "ms", gap // MILLI)
+            if not self._playing and not self._settling:
+                self._settling = True
+                self.loop.call_later(SETTLE / SECOND, self._settle)
+
+    def _settle(self) -> None:
+        self._settling = False
+        # Who has left and what has been answered first; of equals the first that came.
+        first = (api.Withdrawn, api.Outcome, api.Members)
+        self._events = deque(sorted(self._events, key=lambda one: not isinstance(one, first)))
+        self._play_all()
+
     def _play(self, event: api.Event) -> None:
         try:
             actions = self.balancer.handle(self.now(), event)
@@ -242,7 +275,7 @@
         )
         attempt.connection = pool.start(exchange)
         if attempt.connection is None:
-            self._ended(attempt, Ending(api.Status.FULL))
+            self._ended(attempt, Ending(api.Status.NO_ROOM))
 
     def _timeout(self, attempt: Attempt) -> None:
         """The connection is closed before the decisions hear of it, so that no second copy is ever out."""
@@ -287,7 +320,7 @@
         self._forget(held)
 
     def _outcome(self, attempt: Attempt, ending: Ending) -> None:
-        held, elapsed = attempt.held, self.now() - attempt.sent
+        held, elapsed = attempt.held, self.away.took(self.now(), attempt.sent)
         held.tries.append((attempt.server, ending.status))
         origin = self.balancer.fleet.origin
         at_origin = origin is not None and origin.member.server == attempt.server
--- a/rainhitch/node/pool.py
+++ b/rainhitch/node/pool.py
@@ -8,7 +8,7 @@
 from typing import cast
 
 from rainhitch import system
-from rainhitch.interface import Status
+from rainhitch.interface import Endpoint, Status
 from rainhitch.node.call import Ending, Exchange
 from rainhitch.node.relay import Relay
 from rainhitch.telemetry.counts import Counts
@@ -19,7 +19,6 @@
 SWEEP = 1.0
 PIECE = 64 << 10  # bytes that the system may hold for us on a connection; it takes twice that for its own
 OUR_OWN = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)
-Endpoint = tuple[str, int]
 log = logging.getLogger("rainhitch")
 
 
@@ -229,7 +228,7 @@
             if connection.transport is None:
                 # Guards a server's name: that the router itself has no more to open is not its fault.
                 ours = isinstance(problem, OSError) and problem.errno in OUR_OWN
-                connection.lost(Status.FULL if ours else Status.CONNECT_FAILED)
+                connection.lost(Status.NO_ROOM if ours else Status.CONNECT_FAILED)
 
     def release(self, connection: Connection) -> None:
         if self.retired or connection not in self.all:
--- a/rainhitch/node/service.py
+++ b/rainhitch/node/service.py
@@ -3,12 +3,13 @@
 import asyncio
 import logging
 from functools import partial
+from random import Random
 from typing import TYPE_CHECKING
 
 import orjson
 
 from rainhitch.admin.figures import Tally
-from rainhitch.interface import Members
+from rainhitch.interface import Members, Round
 from rainhitch.node.clients import Clients
 from rainhitch.node.configuration import (
     Configuration,
@@ -37,6 +38,7 @@
 TELL_EVERY = 200_000_000  # ns between words with the other routers; each answer is told once
 SPARE = 24  # descriptors for all that is neither a client's nor a server's
 SOON = 16  # connections to servers that may be wanted before clients have made room
+LIVES, LIFE = 1_577_836_800 * 10**9, 250_000_000  # ns: a router's life is the quarters of a second since 2020
 RECORD_EVERY = 1.0  # s
 NAMES = {kind: word for word, kind in WORDS.items()}
 log = logging.getLogger("rainhitch")
@@ -74,6 +76,8 @@
             self.driver.watch = self.etcd.start
         self.house: House | None = None
         self.peers: Peers | None = None
+        self.routers = None if operator is None else operator.routers.options()
+        self.random = Random(told.seed)
         self.clients.can_serve = self.can_serve
         self.counts = self.pools.counts = self.watch.counts = self.driver.counts
 
@@ -104,6 +108,8 @@
             identity = f"{told.listen[0]}:{told.listen[1]}"
             share = partial(cut, told.sockets, self.pools, self.clients)
             self.house = House(self.driver, self.clients, self.directory, identity, share, self.damper.beside)
+            if self.peers is not None:
+                self.house.steward.believes = self.peers.believes
             log.info("second address %s:%d", *await self.house.open(*told.admin))
         if self.etcd is not None:
             self.etcd.start()
@@ -112,17 +118,37 @@
 
     async def _join(self, told: Peering) -> None:
         """Exchanges advice with the other routers from now on; imported only where there are some."""
+        from rainhitch.fleet.exchange import Exchange
+        from rainhitch.fleet.options import Options
         from rainhitch.fleet.peers import Peers, join
 
         def changed(event: Members) -> None:
-            peers.listed(self.directory.targets)
+            peers.listed(list(self.directory.targets))
             self.driver.members(event)
 
-        peers = Peers(told.peers, told.everyone, self.driver.heard)
+        settings, system = self.told.settings, self.pools.system
+        life = max(1, (system.unix() - LIVES) // LIFE & 0xFFFFFFFF)
+        customers = max(1, len(settings.tenants))
+        exchange = Exchange(
+            told.me, len(told.peers), customers, life, system.now(), self.told.seed, self.routers or Options()
+        )
+        peers = Peers(exchange, told.peers, told.everyone, self.driver.heard)
         if await join(told.listen, peers):
             self.peers, self.driver.tell_peers = peers, peers.send
             peers.counts = self.counts
-            self.told.settings.tell_every, self.directory.tell = TELL_EVERY, changed
+            settings.tell_every, self.directory.tell = TELL_EVERY, changed
+            if exchange.counts is not None:
+                self.driver.took = exchange.counts.add
+            if exchange.holdings is not None:
+                self.balancer.allowance = exchange.holdings.spend
+            self._round()
+
+    def _round(self) -> None:
+        """Ends a period between routers; each at a time of its own."""
+        if self.peers is not None and not self.peers.closed:
+            self.driver.heard(Round())
+            every = TELL_EVERY * self.random.uniform(0.75, 1.25) / 1e9
+            asyncio.get_running_loop().call_later(every, self._round)
 
     def _record(self) -> None:
         """Writes down what the last second brought."""
--- a/rainhitch/operator.py
+++ b/rainhitch/operator.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 
 from rainhitch import tables
+from rainhitch.fleet.options import Options as FleetOptions
 from rainhitch.interface import MOVE_SHARE
 from rainhitch.membership.choice import check
 from rainhitch.storms.damper import Options
@@ -77,6 +78,22 @@
         return self.share if self.paced else -1.0
 
 
+@dataclass(slots=True)
+class Routers:
+    """[routers]; the defaults stand in fleet/options.py."""
+
+    counts: bool = tables.flag(
+        FleetOptions.counts, "customers' use is told to the other routers and added up"
+    )
+    members: bool = tables.flag(FleetOptions.members, "routers find out which of them are there")
+    database_rps: float = tables.number(
+        FleetOptions.database_rps, 0, 1e6, "reads a second that all together send the database; 0: no limit"
+    )
+
+    def options(self) -> FleetOptions:
+        return FleetOptions(**dataclasses.asdict(self))
+
+
 @dataclass(slots=True)
 class Membership:
     """[membership]"""
@@ -100,6 +117,7 @@
     servers: ServerLimits = tables.table(ServerLimits, "what connections to servers are held to")
     storms: Storms = tables.table(Storms, "storms of retries and reconnects")
     growth: Growth = tables.table(Growth, "keys that move when the list of servers changes")
+    routers: Routers = tables.table(Routers, "what routers tell one another, and share")
     membership: Membership = tables.table(Membership, "where the list of servers comes from")
 
 
--- a/rainhitch/policy/balancer.py
+++ b/rainhitch/policy/balancer.py
@@ -22,6 +22,8 @@
 class Balancer:
     """The host of the parts: what a request goes through, from its arrival to its one final answer."""
 
+    allowance: Callable[[int], bool] | None = None  # takes a read from what all routers may send the origin
+
     def __init__(self, settings: api.Settings, seed: int, damper: api.Damper | None = None) -> None:
         self.settings, self.damper = settings, damper
         self.turn = Turn(settings, seed)
@@ -37,8 +39,10 @@
             api.Outcome: self._on_outcome,
             api.Members: self._on_members,
             api.Withdrawn: self._on_withdrawn,
-            api.Voided: self._on_voided,
+            api.Voided: self.memory.void,
             api.Heard: self.fleet.heard,
+            api.Part: self.shares.told,
+            api.Round: self.fleet.tell,
         }
 
     def handle(self, now: int, event: api.Event) -> list[api.Action]:
@@ -47,7 +51,6 @@
         turn.now, turn.actions = now, []
         if self.gate.monitor.born < 0:
             self.gate.start()
-            self.fleet.start_telling()
             if self.damper is not None:
                 turn.later(self.damper.period, self._watch_storms)
         handler = self.handlers.get(type(event))
@@ -66,9 +69,6 @@
         if ready is not None:
             self.placement.deal(ready)
 
-    def _on_voided(self, event: api.Voided) -> None:
-        self.memory.void(event.server, event.keys)
-
     def _on_request(self, event: api.Request) -> None:
         spec, now = self.settings.classes[event.cls], self.turn.now
         job = self.jobs[event.id] = Job(event, spec, min(event.deadline, now + spec.aim))
@@ -116,20 +116,19 @@
             self._proceed(job)
         elif event.key is not None and self.memory.likely_miss(event.key, self.turn.now):
             job.likely_miss = True
-            if not self._join(job):
-                self.gate.spend(job)
+            self._fetch(job)
         else:
             self._proceed(job)
 
-    def _join(self, job: Job) -> bool:
+    def _fetch(self, job: Job) -> None:
         """Guards against a flood of reads for one key: who lacks it waits for the read that is out."""
         waiting = self.fetches.get(job.request.key or "")
         if waiting is None or self.turn.now >= job.due:
-            return False
+            self.gate.spend(job)
+            return
         waiting.append(job)
         job.why = "fetch"
         self.turn.later(job.due - self.turn.now, self._give_up, job)
-        return True
 
     def _fetched(self, key: str, stored: bool) -> None:
         """An origin read has ended: who waited for it finds the key in the cache, or takes its own turn."""
@@ -144,8 +143,8 @@
                 job.at_origin = False
                 job.tried.clear()
                 self._proceed(job)
-            elif not self._join(job):
-                self.gate.spend(job)
+            else:
+                self._fetch(job)
 
     def _proceed(self, job: Job | None) -> None:
         if job is None or job.request.id not in self.jobs or job.out or job.waits:
@@ -159,6 +158,8 @@
             self._give_up(job, "origin")
         elif not self._may_send(job, server):
             self._give_up(job, "attempts")
+        elif job.at_origin and not job.request.write and self.allowance and not self.allowance(self.turn.now):
+            self._give_up(job, "total")
         elif not self._affords(job):
             self._give_up(job, "budget")
         else:
@@ -252,7 +253,7 @@
         if job is None:
             return
         job.out.discard(event.attempt)
-        job.failed += event.status not in (api.Status.MISS, api.Status.MOOT)
+        job.failed += event.status not in (api.Status.MISS, api.Status.MOOT, api.Status.NO_ROOM)
         (self._closed if event.closed else self._unanswered)(job, event)
 
     def _closed(self, job: Job, event: api.Outcome) -> None:
@@ -279,6 +280,7 @@
         late = self.turn.now >= job.due and not job.spec.late_worth
         full = status is api.Status.FULL and event.reused is not False
         unfetched = status is api.Status.ERROR and not self.settings.aside and not job.request.write
+        # Guards the budget for retries against work for which this router has no connection left anywhere.
         if status is api.Status.MISS and self.settings.aside and not job.at_origin:
             job.missed = event.server
             if key is not None:
@@ -289,22 +291,21 @@
                 self._proceed(job)  # its owner may have it by now, from another router
                 return
             job.at_origin = True
-            if not self._join(job):
-                self.gate.spend(job)
+            self._fetch(job)
         elif job.at_origin:
-            self._after_origin(job)
+            self._after_origin(job, "room" if status is api.Status.NO_ROOM else "origin")
             if key is not None and not job.request.write:
                 self._fetched(key, False)
-        elif unfetched or late or (full and (job.marked or job.made > 1)):
+        elif unfetched or late or status is api.Status.NO_ROOM or (full and (job.marked or job.made > 1)):
             self._give_up(job, "late" if late else status.value)
         else:
             self._proceed(job)
 
-    def _after_origin(self, job: Job) -> None:
+    def _after_origin(self, job: Job, why: str) -> None:
         """A read the origin failed is refused, to shield it; a write tries again while its aim lasts."""
         wait = int((job.spec.aim << job.made) * self.turn.random.uniform(0.5, 1)) // 32
         timely = job.request.write and self.turn.now + wait < job.due
         if timely and self.fleet.origin and self._may_send(job, self.fleet.origin):
             self.turn.later(wait, self._proceed, job)
         else:
-            self._give_up(job, "origin")
+            self._give_up(job, why)
--- a/rainhitch/policy/jobs.py
+++ b/rainhitch/policy/jobs.py
@@ -4,7 +4,8 @@
 
 from rainhitch import interface as api
 
-NEVER_RAN = frozenset((api.Status.FULL, api.Status.CONNECT_FAILED, api.Status.MOOT, api.Status.MISS))
+S = api.Status
+NEVER_RAN = frozenset((S.FULL, S.CONNECT_FAILED, S.MOOT, S.MISS, S.NO_ROOM))
 
 
 @dataclass(slots=True, eq=False)
--- a/rainhitch/policy/placement.py
+++ b/rainhitch/policy/placement.py
@@ -59,10 +59,10 @@
         else:
             self.seen.pop(key, None)
 
-    def void(self, server: str, keys: list[str] | None) -> None:
+    def void(self, event: api.Voided) -> None:
         """A server holds these keys no more, or none at all: another read of them is a likely miss."""
-        for key in list(self.seen) if keys is None else keys:
-            if key in self.seen and self.seen[key][1] == server:
+        for key in list(self.seen) if event.keys is None else event.keys:
+            if key in self.seen and self.seen[key][1] == event.server:
                 del self.seen[key]
 
     def put(self, key: str, now: int, server: str) -> None:
--- a/rainhitch/policy/servers.py
+++ b/rainhitch/policy/servers.py
@@ -158,22 +158,17 @@
         self.origin = next((server for server in ready if server.member.kind == origin_kind), None)
         return sorted(server.member.server for server in caches)
 
-    def start_telling(self) -> None:
-        if self.turn.settings.tell_every:
-            self.turn.later(int(self.turn.settings.tell_every * self.turn.random.random()), self._tell)
-
     def _count(self, server: Server, elapsed: int, out: bool = False) -> None:
         """Keeps an answer time for the other routers, or how long an attempt has been out."""
         if self.turn.settings.tell_every and server is not self.origin:
             self.seen.append(api.Seen(server.member.server, elapsed, out))
 
-    def _tell(self, _: Job | None) -> None:
+    def tell(self, _: api.Round) -> None:
         """Guards against a fleet in which each router sees a server seldom, and all of them learn late."""
         if self.unheard() == 1:
             self._overdue()
         self.turn.actions.append(api.Tell(self.seen))
         self.seen = []
-        self.turn.later(int(self.turn.settings.tell_every * self.turn.random.uniform(0.75, 1.25)), self._tell)
 
     def _overdue(self) -> None:
         """Guards against a jam of which all learn last, once its answers come: an attempt that is out for
@@ -211,11 +206,10 @@
 
     def sent(self, server: Server, attempt: tuple[str, int], safe: bool) -> None:
         """An attempt goes there, by its request's id and its number."""
-        if server is not self.origin:
-            self.waits[attempt] = server, self.turn.now, safe
         server.out += 1
         server.sent_at = self.turn.now
         if server is not self.origin:
+            self.waits[attempt] = server, self.turn.now, safe
             self.zones.sent(server.member.zone, self.turn.now)
 
     def open(self, server: Server) -> bool:
@@ -281,6 +275,8 @@
             return
         server.out = max(0, server.out - 1)
         status, load = event.status, event.load
+        if status is api.Status.NO_ROOM:
+            return  # it tells nothing of the server
         reached = server is self.origin or self._reached(server, event)
         if load is not None and load.inflight >= 0 and load.latency_ms > 0:
             server.load, server.load_at = load, self.turn.now
--- a/rainhitch/policy/shares.py
+++ b/rainhitch/policy/shares.py
@@ -5,7 +5,7 @@
 from rainhitch.policy.throttle import LEAST_TOTAL
 from rainhitch.policy.turn import Turn
 
-PART_KEPT = 10_000_000  # ns for which this router's part of the traffic is taken as known
+PART_KEPT = 10_000_000  # ns for which this router's part of the traffic, where it was reckoned here, is kept
 
 
 class Shares:
@@ -16,7 +16,11 @@
         tenants = turn.settings.tenants
         self.shares = [Rate(4 * turn.shortest_aim) for _ in tenants]
         self.banks = [Bank() for _ in tenants]
-        self.part, self.part_until = 0.0, 0  # this router's part of the traffic, and until when it holds
+        self.parts, self.until = [0.0], 0  # this router's part of each one's traffic, and until when it holds
+
+    def told(self, event: api.Part) -> None:
+        """The routers' counts tell this one's part of each customer's traffic, or of all of it."""
+        self.parts, self.until = event.parts, self.turn.now + event.span
 
     def exceeds(self, event: api.Request) -> bool:
         """Whether this request is beyond its customer's quota."""
@@ -25,9 +29,11 @@
             return False
         if not event.repeat:
             self.shares[event.tenant].add(self.turn.now)
-        if self.turn.now >= self.part_until:
+        if self.turn.now >= self.until:
             both = zip(self.shares, quotas, strict=True)
             used = sorted(rate.per_second(self.turn.now) / one.quota for rate, one in both if one.quota)
-            self.part, self.part_until = used[(len(used) - 1) // 2], self.turn.now + PART_KEPT
-        rate = quotas[event.tenant].quota * max(1 / self.turn.settings.balancers, self.part)
+            # Guards against a surge of all customers taken for this router's part: it is no more than all.
+            self.parts, self.until = [min(1, used[(len(used) - 1) // 2])], self.turn.now + PART_KEPT
+        part = self.parts[event.tenant % len(self.parts)]
+        rate = quotas[event.tenant].quota * max(1 / self.turn.settings.balancers, part)
         return not self.banks[event.tenant].take(self.turn.now, rate, max(LEAST_TOTAL, rate))
--- a/rainhitch/rehearsal/faults.py
+++ b/rainhitch/rehearsal/faults.py
@@ -14,6 +14,9 @@
     "list-silent": ("for_s",),
     "messages-lost": ("for_s", "share"),
     "messages-late": ("for_s", "delay_s"),
+    "messages-doubled": ("for_s", "share"),
+    "messages-shuffled": ("for_s", "delay_s"),
+    "routers-apart": ("group", "for_s", "oneway"),
     "database-slow": ("for_s", "factor"),
     "database-stop": ("for_s",),
     "node-kill": ("node", "for_s"),
@@ -30,6 +33,7 @@
     "router-kill": ("router", "for_s"),
     "router-restart": ("router",),
     "router-reload": ("router",),
+    "router-pause": ("router", "for_s"),
     "surge": ("router", "for_s", "share"),
     "reconnect-storm": ("for_s", "clients"),
     "etcd-drop": (),
@@ -50,6 +54,10 @@
     room: str = tables.text("", "which room")
     node: str = tables.text("", "which node: ROOM-NUMBER")
     router: int = tables.whole(-1, 0, 299, "which router, from 0")
+    group: list[int] = tables.numbers(
+        [], 0, 299, "routers-apart: which routers, from 0; the rest are the others"
+    )
+    oneway: bool = tables.flag(False, "routers-apart: only what the group sends is lost")
     routers: bool = tables.flag(True, "room-loss: its routers too")
     share: float = tables.number(0.1, 0, 1, "of all traffic, reads, messages or answers")
     keys: int = tables.whole(2, 1, 100, "hot-keys: how many")
@@ -83,6 +91,7 @@
                 lines.append(f"{at}.{key} = {value!r}: allowed is one of {', '.join(names)}")
             elif key not in needs and value:
                 lines.append(f"{at}.{key} = {value!r}: {one.kind} has no {key}")
+        lines += _apart(one, at, routers)
         if "router" in needs and not 0 <= one.router < routers:
             lines.append(f"{at}.router = {one.router}: allowed is a whole number from 0 to {routers - 1}")
         elif "router" not in needs and one.router >= 0:
@@ -103,6 +112,14 @@
     return lines
 
 
+def _apart(one: Fault, at: str, routers: int) -> list[str]:
+    """A line for a group of routers that leaves nobody to be apart from."""
+    group = set(one.group)
+    if one.kind != "routers-apart" or (group <= set(range(routers)) and 0 < len(group) < routers):
+        return []
+    return [f"{at}.group = {one.group}: allowed are some routers from 0 to {routers - 1}, not all"]
+
+
 def _before_joining(faults: list[Fault]) -> list[str]:
     """One line for each fault that acts on a node before that has joined."""
     joins = {one.node: one.at_s for one in faults if one.kind == "node-join"}
@@ -119,6 +136,7 @@
         return one.room == two.room
     if one.kind == two.kind and one.kind in (
         "partition",
+        "routers-apart",
         "database-stop",
         "list-silent",
         "etcd-silent",
@@ -131,5 +149,5 @@
     for room, other in ((one, two), (two, one)):
         if room.kind == "room-loss" and other.kind in taking:
             return other.node.rsplit("-", 1)[0] == room.room
-    ends = ("router-kill", "router-restart")
+    ends = ("router-kill", "router-restart", "router-pause")
     return one.kind in ends and two.kind in ends and one.router == two.router
--- a/rainhitch/rehearsal/judge/evidence.py
+++ b/rainhitch/rehearsal/judge/evidence.py
@@ -111,9 +111,14 @@
         return any(started <= when <= at and state == "Ready" for when, state in rows)
 
     def died(self, router: int, begin: int, end: int) -> bool:
-        """Whether a router was killed, or crashed, between two instants."""
+        """Whether a router was killed, stopped as it stood, or crashed, between two instants."""
         asked = ""  # what the stage did to it last; who is told to stop has to answer what it holds
+        stopped = 0
         for what, at in self.lives.get(router, []):
+            if what == "pause":
+                stopped = at
+            elif what == "wake" and stopped <= end and at >= begin:
+                return True
             if what in ("start", "term", "kill", "late kill"):
                 asked = what
             if begin <= at <= end and (what == "kill" or (what == "ended" and asked == "start")):
--- a/rainhitch/rehearsal/plan.py
+++ b/rainhitch/rehearsal/plan.py
@@ -335,6 +335,8 @@
         apart = [(r, uid) for r, uid in pairs if (r in routers) != (rooms[uid] == fault.room)]
         cues = [cue for pair in apart for cue in both("link", list(pair), "silent", "heal")]
         return cues + both("messages", routers, "cut", "heal") + both("list", routers, "hold", "release")
+    if kind == "routers-apart":
+        return both("messages", sorted(set(fault.group)), "cut", "heal", oneway=fault.oneway)
     if kind in ("node-drain", "node-upgrade"):
         cues = once("node", fault.node, "drain")
         cues += [{**cue, "at": end} for cue in once("node", fault.node, "kill")]
@@ -361,6 +363,8 @@
         "list-silent": both("list", [], "silent", "speak"),
         "messages-lost": both("messages", [], "lose", "keep", share=fault.share),
         "messages-late": both("messages", [], "delay", "undelay", delay=micros(fault.delay_s)),
+        "messages-doubled": both("messages", [], "double", "single", share=fault.share),
+        "messages-shuffled": both("messages", [], "shuffle", "order", delay=micros(fault.delay_s)),
         "database-slow": both("database", "", "slow", "quick", factor=fault.factor),
         "database-stop": both("database", "", "stop", "go"),
         "node-kill": both("node", fault.node, "kill", "start"),
@@ -370,6 +374,7 @@
         "link-silent": both("link", link, "silent", "heal"),
         "link-reset": once("link", link, "reset"),
         "router-kill": both("router", fault.router, "kill", "start", notice=notice),
+        "router-pause": both("router", fault.router, "pause", "wake"),
         "router-reload": once("router", fault.router, "reload"),
         "etcd-drop": once("etcd", "", "drop"),
         "etcd-compact": once("etcd", "", "compact"),
--- a/rainhitch/rehearsal/routers.py
+++ b/rainhitch/rehearsal/routers.py
@@ -278,6 +278,11 @@
         self._note("reload")
         self._signal(signal.SIGHUP)
 
+    def pause(self, stopped: bool) -> None:
+        """Stops the process as it stands, or lets it go on."""
+        self._note("pause" if stopped else "wake")
+        self._signal(signal.SIGSTOP if stopped else signal.SIGCONT)
+
     def end_now(self) -> None:
         """When the stage itself ends: whatever runs is ended."""
         self.told = "kill"
--- a/rainhitch/rehearsal/stage.py
+++ b/rainhitch/rehearsal/stage.py
@@ -109,8 +109,14 @@
     """One day."""
 
     def __init__(
-        self, scenario: Scenario, plan: Plan, words: list[str], tell: Told = lambda at, row: None
+        self,
+        scenario: Scenario,
+        plan: Plan,
+        words: list[str],
+        tell: Told = lambda at, row: None,
+        operator: str = "",
     ) -> None:
+        self.operator = operator  # the text of an operator's file that all routers have
         self.scenario, self.plan, self.words, self.tell = scenario, plan, words, tell
         self.folder = Path(tempfile.mkdtemp(prefix="rainhitch-"))
         self.parts: list[PartProcess] = []
@@ -125,7 +131,10 @@
 
     def router(self, number: int, config: Json) -> Router:
         day = self.scenario.day
-        return Router(number, self.words, self.folder, config, int(day.memory_mb * (1 << 20)), day.sockets)
+        memory = int(day.memory_mb * (1 << 20))
+        made = Router(number, self.words, self.folder, config, memory, day.sockets)
+        made.operator = self.operator
+        return made
 
     def port(self) -> int:
         """A port that nobody listens on."""
@@ -263,6 +272,8 @@
             await self._up(router)
         elif cue["what"] == "reload":
             router.reload()
+        elif cue["what"] in ("pause", "wake"):
+            router.pause(cue["what"] == "pause")
         elif cue["what"] == "restart":
             self._do(self._front(cue["name"], False, cue["accept"] / 1e6))
             await router.stop()
--- a/rainhitch/rehearsal/virtual/loop.py
+++ b/rainhitch/rehearsal/virtual/loop.py
@@ -38,7 +38,7 @@
         self.random = Random(f"{seed}/{name}")
         self.line: deque[asyncio.Handle] = deque()
         self.busy_until = 0
-        self.waking = self.dead = False
+        self.waking = self.dead = self.stopped = False
         self.worked = 0  # ns of CPU since the start
         self.callbacks = 0
         self.unix_jump = 0  # ns by which its wall clock is off
@@ -171,11 +171,11 @@
 
     def _execute(self, handle: asyncio.Handle) -> None:
         owner = handle._context.get(OWNER)  # type: ignore[attr-defined]
-        if owner is None or owner.costs is None:
+        if owner is None or (owner.costs is None and not owner.stopped and not owner.line):
             if owner is None or not owner.dead:
                 self._run(handle)
         elif not owner.dead:
-            if owner.busy_until > self.clock or owner.line:
+            if owner.busy_until > self.clock or owner.line or owner.stopped:
                 owner.line.append(handle)
                 self._wake(owner)
             else:
@@ -188,21 +188,33 @@
         handle._run()
 
     def _charge(self, owner: Owner, handle: asyncio.Handle) -> None:
-        assert owner.costs is not None
-        cost = owner.costs.of(handle, owner.random)
+        cost = 0 if owner.costs is None else owner.costs.of(handle, owner.random)
         owner.busy_until = self.clock + cost
         owner.worked += cost
         owner.callbacks += 1
         self._run(handle)
 
+    def hold(self, owner: Owner, stopped: bool) -> None:
+        """Stops an owner as it stands, or lets it go on: timers that came due meanwhile run before what came
+        on its sockets, as in a loop that was stopped."""
+        if owner.stopped == stopped:
+            return
+        owner.stopped = stopped
+        if not stopped:
+            timers = [one for one in owner.line if isinstance(one, asyncio.TimerHandle)]
+            owner.line = deque(
+                timers + [one for one in owner.line if not isinstance(one, asyncio.TimerHandle)]
+            )
+            self._wake(owner)
+
     def _wake(self, owner: Owner) -> None:
-        if not owner.waking:
+        if not owner.waking and not owner.stopped and owner.line:
             owner.waking = True
             self.at(owner.busy_until, self._go_on, owner)
 
     def _go_on(self, owner: Owner) -> None:
         owner.waking = False
-        while owner.line and not owner.dead and owner.busy_until <= self.clock:
+        while owner.line and not owner.dead and not owner.stopped and owner.busy_until <= self.clock:
             handle = owner.line.popleft()
             if not handle.cancelled():
                 self._charge(owner, handle)
--- a/rainhitch/rehearsal/virtual/stage.py
+++ b/rainhitch/rehearsal/virtual/stage.py
@@ -130,6 +130,8 @@
             return
         if number is signal.SIGKILL:
             self._down(owner)
+        elif number in (signal.SIGSTOP, signal.SIGCONT):
+            self.stage.loop.hold(owner, number is signal.SIGSTOP)
         else:
             context = contextvars.Context()
             context.run(OWNER.set, owner)
@@ -172,8 +174,7 @@
         tell: Told = lambda at, row: None,
         operator: str = "",
     ) -> None:
-        super().__init__(scenario, plan, [], tell)
-        self.operator = operator
+        super().__init__(scenario, plan, [], tell, operator)
         told = scenario.virtual
         self.loop, self.costs = loop, Costs(told.core) if told.core else None
         first, last = (round(one * 1e6) for one in told.way_ms)
--- a/rainhitch/rehearsal/world/centre.py
+++ b/rainhitch/rehearsal/world/centre.py
@@ -208,8 +208,13 @@
         elif cue["who"] == "messages":
             if what in ("cut", "heal"):
                 datagrams.apart = set(cue["name"]) if what == "cut" else set()
+                datagrams.oneway = what == "cut" and cue.get("oneway", False)
             elif what in ("lose", "keep"):
                 datagrams.lost = cue["share"] if what == "lose" else 0.0
+            elif what in ("double", "single"):
+                datagrams.doubled = cue["share"] if what == "double" else 0.0
+            elif what in ("shuffle", "order"):
+                datagrams.shuffled = cue["delay"] / 1e6 if what == "shuffle" else 0.0
             else:
                 datagrams.more = cue["delay"] / 1e6 if what == "delay" else 0.0
 
--- a/rainhitch/rehearsal/world/datagrams.py
+++ b/rainhitch/rehearsal/world/datagrams.py
@@ -19,7 +19,10 @@
         self.loop = asyncio.get_running_loop()
         self.more = 0.0  # s of further delay
         self.lost = 0.0  # part that is lost beside the usual
+        self.doubled = 0.0  # part that comes twice
+        self.shuffled = 0.0  # s of further delay at most, drawn for each
         self.apart: set[int] = set()  # routers that are cut off from the others
+        self.oneway = False  # only what these send is lost
         self.sent = self.delivered = self.dropped = self.bytes = 0
         self.targets: dict[int, tuple[str, int]] = {}  # where each router listens for them
         # sockets[i][j]: what i knows as j's address; the last is for all
@@ -52,12 +55,16 @@
 
     def _carry(self, data: bytes, source: int, target: int) -> None:
         self.sent += 1
-        apart = (source in self.apart) != (target in self.apart)
+        apart = (source in self.apart) != (target in self.apart) and (source in self.apart or not self.oneway)
         chance, late = self.random.random(), self.random.uniform(*self.delay)
         if len(data) > MOST_BYTES or apart or chance < max(self.loss, self.lost):
             self.dropped += 1
             return
+        if self.shuffled:
+            late += self.random.uniform(0, self.shuffled)
         self.loop.call_later(late + self.more, self._deliver, data, source, target)
+        if self.doubled and self.random.random() < self.doubled:
+            self.loop.call_later(2 * late + self.more, self._deliver, data, source, target)
 
     def _deliver(self, data: bytes, source: int, target: int) -> None:
         address = self.targets.get(target)
--- a/rainhitch/tables.py
+++ b/rainhitch/tables.py
@@ -86,6 +86,12 @@
     return _field(form, "a list of different texts", default, doc)
 
 
+def numbers(default: list[int], low: int, high: int, doc: str) -> Any:
+    """A list of whole numbers; each may be named twice."""
+    within = Annotated[int, Field(ge=low, le=high, strict=True)]
+    return _field(list[within], f"a list of whole numbers from {low} to {high}", default, doc)
+
+
 def _both_ends(value: object) -> object:
     return tuple(value) if isinstance(value, list) else (value, value)
 
--- a/rainhitch/telemetry/records.py
+++ b/rainhitch/telemetry/records.py
@@ -21,8 +21,9 @@
     taken: int = 0  # requests
     # How requests ended: served, gone (the client left), refused:WHY, failed:WHY. WHY is the decision that
     # gave it up: placement (no server calm), throttle, buffer (waited there too long), fetch (waited for
-    # another's read), origin, storm, order, budget (of retries), attempts (no one more is allowed), full,
-    # error, late, room (of the router), overdue (the decisions lost it); + behind it: beyond the share.
+    # another's read), origin, total (of the fleet's reads of the database), storm, order, budget (of
+    # retries), attempts (no one more is allowed), full, error, late, room (of the router), overdue (the
+    # decisions lost it); + behind it: beyond the share.
     ended: Numbers = field(default_factory=dict)
     # Attempts, by how they ended; "origin" before it: at the database. And how long these took in all, ms.
     tried: Numbers = field(default_factory=dict)
@@ -36,6 +37,7 @@
     links: Numbers = field(default_factory=dict)  # connections to servers: new, refused
     calls: Numbers = field(default_factory=dict)  # to discovery: ok, or the error's name
     words: Numbers = field(default_factory=dict)  # between routers: told, bytes, heard, unread
+    away: Numbers = field(default_factory=dict)  # stopped, or without its core: times, ms
     open: int = 0  # connections to servers at its end
     list_age: float = -1.0  # s since discovery last answered; -1: it never has
     rate: float = 0.0  # of the throttle, likely misses a second; 0: it is off
--- a/tests/admin/test_calls.py
+++ b/tests/admin/test_calls.py
@@ -44,8 +44,11 @@
     def resume(self) -> str:
         return self._do("resume")
 
+    def routers(self) -> str:
+        return self._do("routers")
 
-@pytest.mark.parametrize("line", ["health", "quiesce", "resume", "cordon s-1", "uncordon s-1"])
+
+@pytest.mark.parametrize("line", ["health", "quiesce", "resume", "routers", "cordon s-1", "uncordon s-1"])
 def test_each_call_reaches_the_hands_and_its_yes_or_no_comes_back(line: str) -> None:
     hands = Scripted()
     assert answer(f" {line}\r".encode(), hands) == b"OK done\n"
@@ -74,7 +77,7 @@
 
 
 def test_every_call_of_the_page_is_there() -> None:
-    assert {*ALONE, *WITH_ID} == {"health", "counters", "cordon", "uncordon", "quiesce", "resume"}
+    assert {*ALONE, *WITH_ID} == {"health", "counters", "cordon", "uncordon", "quiesce", "resume", "routers"}
 
 
 def test_figures_are_told_by_class_with_their_kind() -> None:
--- a/tests/fleet/test_advice.py
+++ b/tests/fleet/test_advice.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+from typing import Any
 
 import pytest
 from hypothesis import given
@@ -19,6 +20,8 @@
     hashes,
     short,
 )
+from rainhitch.fleet.exchange import Exchange
+from rainhitch.fleet.options import Options
 from rainhitch.fleet.peers import Peers, join
 from rainhitch.fleet.words import Words
 
@@ -131,7 +134,7 @@
 
 
 async def test_peers_hear_one_another_and_nobody_else() -> None:
-    heard: asyncio.Queue[api.Heard] = asyncio.Queue()
+    heard: asyncio.Queue[Any] = asyncio.Queue()
     with (
         socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as friend,
         socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as stranger,
@@ -140,7 +143,10 @@
         stranger.bind(("127.0.0.1", 0))
         friend.settimeout(20)
         names = ["s-1"]
-        peers = Peers([friend.getsockname()], friend.getsockname(), heard.put_nowait)
+        exchange = Exchange(0, 2, 1, 1, 0, 7, Options(counts=False))
+        peers = Peers(
+            exchange, [("127.0.0.1", 9), friend.getsockname()], friend.getsockname(), heard.put_nowait
+        )
         peers.listed(names)
         assert await join(("127.0.0.1", 0), peers)
         assert peers.transport is not None
@@ -164,6 +170,6 @@
 async def test_a_port_that_is_taken_leaves_the_router_alone_but_running() -> None:
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as taken:
         taken.bind(("127.0.0.1", 0))
-        peers = Peers([], ("127.0.0.1", 9), lambda _: None)
+        peers = Peers(Exchange(0, 1, 1, 1, 0, 7, Options()), [], ("127.0.0.1", 9), lambda _: None)
         assert not await join(taken.getsockname(), peers)
         peers.send([api.Seen("s-1", SECOND)])
--- /dev/null
+++ b/tests/fleet/test_alive.py
@@ -0,0 +1,145 @@
+"""Who is there: found out in time, agreed on after the last fault, and not talked away by who was away
+itself."""
+
+import contextlib
+from itertools import permutations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from lossy import SECOND, World
+
+from rainhitch.fleet.alive import HEAD, MOST_LIFE, MOST_NEWS, NEWS, Alive, AliveError, Kind, State
+
+
+def fleet(routers: int, seed: int) -> World:
+    return World(routers, lambda me, life, now: Alive(me, routers, life, now, seed * 100 + me), seed)
+
+
+def agreed(world: World) -> bool:
+    """Whether all that run hold the same, and it is true."""
+    truth = list(world.up)
+    return all(
+        [part.alive(n) for n in range(len(truth))] == truth
+        for router, part in enumerate(world.parts)
+        if world.runs(router)
+    )
+
+
+@pytest.mark.parametrize("routers", [3, 12, 60])
+def test_a_death_is_known_to_all_and_a_start_soon_after_it(routers: int) -> None:
+    world = fleet(routers, 1)
+    world.go(10 * SECOND)
+    assert agreed(world)
+    world.kill(1)
+    world.go((20 if routers < 60 else 60) * SECOND)
+    assert agreed(world)
+    world.start(1)
+    world.go((10 if routers < 60 else 40) * SECOND)
+    assert agreed(world)
+
+
+def test_what_a_router_sends_does_not_grow_with_the_fleet() -> None:
+    rates = []
+    for routers in (3, 60, 200):
+        world = fleet(routers, 2)
+        world.go(20 * SECOND)
+        rates.append(world.sent / routers / 20)
+        assert world.bytes <= HEAD.size + MOST_NEWS * NEWS.size <= 256
+    assert max(rates) < 4 and agreed(world)
+
+
+def test_a_third_of_words_lost_kills_nobody_for_long() -> None:
+    world = fleet(12, 3)
+    world.loss = 0.3
+    world.go(60 * SECOND)
+    wrong = sum(not part.alive(n) for part in world.parts for n in range(12))
+    assert wrong <= 0.1 * 144
+    world.loss = 0.0
+    world.go(30 * SECOND)
+    assert agreed(world)
+
+
+def test_two_halves_each_see_the_other_gone_and_heal() -> None:
+    world = fleet(8, 4)
+    world.go(5 * SECOND)
+    world.cut = lambda source, to: (source < 4) != (to < 4)
+    world.go(60 * SECOND)
+    assert world.parts[0].there() == [0, 1, 2, 3] and world.parts[7].there() == [4, 5, 6, 7]
+    world.cut = lambda source, to: False
+    world.go(40 * SECOND)
+    assert agreed(world)
+
+
+def test_who_was_stopped_doubts_itself_before_the_others() -> None:
+    """Guards against a late waker that has heard nobody and tells all that all are dead."""
+    world = fleet(6, 5)
+    world.go(5 * SECOND)
+    world.stopped[0] = True
+    world.go(30 * SECOND)
+    assert not world.parts[1].alive(0)
+    world.stopped[0] = False
+    before = [part.changes for part in world.parts]
+    world.go(SECOND)
+    assert world.parts[0].there() == [0, 1, 2, 3, 4, 5] and world.parts[0].doubt > 0
+    world.go(20 * SECOND)
+    assert agreed(world)
+    assert sum(part.changes for part in world.parts) - sum(before) <= 12, "it alone was gone, and is back"
+
+
+def test_a_router_that_restarts_with_a_clock_gone_back_takes_a_higher_life() -> None:
+    world = fleet(4, 6)
+    world.lives[2] = 1000
+    world.start(2)
+    world.go(10 * SECOND)
+    world.kill(2)
+    world.go(30 * SECOND)
+    world.lives[2] = 3
+    world.start(2)
+    world.go(30 * SECOND)
+    assert agreed(world) and world.parts[2].life > 1001
+
+
+@pytest.mark.parametrize("routers", [3, 5, 9])
+def test_after_the_last_fault_all_agree(routers: int) -> None:
+    """Schedules at random: loss, cuts both ways and one way, doubling, delay, stops, deaths, starts."""
+    for seed in range(8):
+        world = fleet(routers, seed)
+        for _ in range(40):
+            world.any_fault()
+            world.go(world.random.randrange(1, 3 * SECOND))
+        world.heal()
+        world.go(60 * SECOND)
+        assert agreed(world), f"seed {seed}"
+        assert all(len(part.questions) < 64 and len(part.news) <= routers for part in world.parts)
+
+
+rows = st.lists(
+    st.tuples(st.just(1), st.integers(1, 3), st.integers(0, 3), st.sampled_from(list(State))), max_size=4
+)
+
+
+@given(rows)
+def test_news_merges_to_the_same_in_every_order_and_however_often(
+    told: list[tuple[int, int, int, State]],
+) -> None:
+    held = set()
+    for order in permutations(told):
+        one = Alive(0, 3, 1, 0, 1)
+        for router, life, incarnation, state in (*order, *order):
+            one._told(0, router, life, incarnation, state)
+        held.add(one.known[1].rank)
+    assert len(held) == 1
+
+
+@given(st.binary(max_size=64), st.integers(-1, 4))
+def test_noise_is_turned_down_or_makes_nobody_unknown(data: bytes, sender: int) -> None:
+    one = Alive(0, 4, 1, 0, 1)
+    with contextlib.suppress(AliveError):
+        one.heard(SECOND, sender, data)
+    assert one.alive(0) and len(one.known) == 4 and one.life <= MOST_LIFE
+
+
+def test_an_answer_to_nobodys_question_tells_nothing() -> None:
+    one = Alive(0, 3, 1, 0, 1)
+    assert one.heard(0, 1, HEAD.pack(Kind.ANSWER, 7, 2)) == [] and not one.questions
--- /dev/null
+++ b/tests/fleet/test_holdings.py
@@ -0,0 +1,270 @@
+"""A total that all routers share: never over it, whatever is lost, late, doubled, stopped or started anew."""
+
+import contextlib
+import copy
+
+import pytest
+from hypothesis import given
+from hypothesis import settings as budget
+from hypothesis import strategies as st
+from lossy import SECOND, World
+
+from rainhitch.fleet import holdings
+from rainhitch.fleet.holdings import (
+    ANSWER,
+    DRIFT,
+    EVERY,
+    MOST_LOANS,
+    QUESTION,
+    TERM,
+    WORD,
+    HoldingError,
+    Holdings,
+    Loan,
+)
+
+TOTAL = 120.0
+
+
+class Meter:
+    """What all have spent, against the total: a bucket that leaks at the total's rate."""
+
+    def __init__(self, world: World, total: float, drift: float) -> None:
+        self.world, self.total, self.drift = world, total * (1 + drift), drift
+        self.level = self.worst = 0.0
+        self.at = world.now
+        self.spent = 0
+
+    def spend(self, router: int) -> bool:
+        world = self.world
+        self.level = max(0.0, self.level - self.total * (world.now - self.at) / SECOND)
+        self.at = world.now
+        if not world.parts[router].spend(world.clock(router)):
+            return False
+        self.level += 1
+        self.spent += 1
+        self.worst = max(self.worst, self.level)
+        return True
+
+    def bound(self) -> float:
+        """What their banks held: a second of the total, a unit of each router, and the rest of a unit."""
+        return self.total + 2 * len(self.world.parts)
+
+
+def fleet(routers: int, seed: int, drift: float = 0.0, every: int = EVERY // 4) -> World:
+    return World(
+        routers,
+        lambda me, life, now: Holdings(me, routers, TOTAL, now, seed * 1000 + me * 10 + life),
+        seed,
+        drift,
+        every,
+    )
+
+
+def chaos(seed: int, steps: int, routers: int) -> tuple[Meter, World]:
+    """Faults at random, with demand that is now here and now there."""
+    world = fleet(routers, seed, DRIFT)
+    meter = Meter(world, TOTAL, DRIFT)
+    wants = [0.0] * routers
+
+    def demand() -> None:
+        for router in range(routers):
+            if not world.runs(router):
+                continue
+            many = wants[router] * world.every / SECOND
+            for _ in range(int(many) + (world.random.random() < many % 1)):
+                meter.spend(router)
+
+    for _ in range(steps):
+        if world.random.random() < 0.3:
+            world.any_fault()
+        if world.random.random() < 0.3:
+            wants = [world.random.choice([0.0, 5.0, TOTAL, 3 * TOTAL]) for _ in range(routers)]
+        world.go(world.random.randrange(1, 3 * SECOND), demand)
+        assert all(
+            max(len(one.lent), len(one.questions), len(one.borrowed)) <= MOST_LOANS for one in world.parts
+        )
+    return meter, world
+
+
+@pytest.mark.parametrize(
+    ("routers", "seeds", "least"), [(2, 10, 100_000), (3, 10, 150_000), (12, 3, 150_000)]
+)
+def test_the_sum_stays_within_its_bound_through_any_faults(routers: int, seeds: int, least: int) -> None:
+    """Half a million units asked for, over schedules of loss, delay, doubling, cuts, stops, deaths and
+    starts."""
+    asked = 0
+    for seed in range(seeds):
+        meter, world = chaos(seed, 120, routers)
+        assert meter.worst <= meter.bound(), f"seed {seed}"
+        assert meter.spent > 1000
+        asked += meter.spent + sum(one.refused for one in world.parts)
+    assert asked > least
+
+
+@pytest.mark.parametrize("mutant", ["lends what it spends", "own clock ends it", "doubled answer"])
+def test_each_part_of_the_rule_is_needed(mutant: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    """The same schedules with one guard taken out go over the bound, so the test above can fail."""
+    if mutant == "lends what it spends":
+        held = Holdings._between
+        monkeypatch.setattr(
+            Holdings,
+            "_between",
+            lambda one, begin, end: held(one, begin, end) + sum(x.rate for x in one.lent),
+        )
+    elif mutant == "own clock ends it":
+
+        def heard(self: Holdings, now: int, sender: int, data: bytes) -> holdings.Words:
+            kind, nonce, amount = WORD.unpack(data)
+            if kind == QUESTION:
+                lent = self._lend(now, amount / 1000)
+                return [(sender, WORD.pack(ANSWER, nonce, lent))] if lent else []
+            if self.questions.pop(nonce, (-1, 0, 0.0))[0] == sender:
+                self.borrowed.append(Loan(amount / 1000, now + 3 * TERM))
+            return []
+
+        monkeypatch.setattr(Holdings, "heard", heard)
+    else:
+
+        def twice(self: Holdings, now: int, sender: int, data: bytes) -> holdings.Words:
+            kind, nonce, amount = WORD.unpack(data)
+            if kind == QUESTION:
+                lent = self._lend(now, amount / 1000)
+                return [(sender, WORD.pack(ANSWER, nonce, lent))] if lent else []
+            self.borrowed.append(Loan(amount / 1000, now + TERM))
+            return []
+
+        monkeypatch.setattr(Holdings, "heard", twice)
+    over = []
+    for seed in range(8):
+        meter, _ = chaos(seed, 120, 3)
+        over.append(meter.worst > meter.bound())
+        if over[-1]:
+            break
+    assert any(over)
+
+
+@pytest.mark.parametrize("routers", [3, 12, 60])
+def test_one_router_with_all_the_need_soon_holds_most_of_it_and_it_comes_back(routers: int) -> None:
+    world = fleet(routers, 1, every=EVERY // 16)
+    meter = Meter(world, TOTAL, 0.0)
+    world.go(6 * SECOND)
+
+    def all_at_first() -> None:
+        for _ in range(int(2 * TOTAL * world.every / SECOND)):
+            meter.spend(0)
+
+    world.go(8 * SECOND, all_at_first)
+    before = meter.spent
+    world.go(8 * SECOND, all_at_first)
+    reached = {3: 0.75, 12: 0.6, 60: 0.4}[routers]  # a few are asked in a round, and each lends for a time
+    assert (meter.spent - before) / 8 > reached * TOTAL
+    world.go(2 * TERM + 4 * SECOND)  # the last questions are asked while the need fades
+    assert all(not one.borrowed and not one.lent for one in world.parts if one._fill(world.now) is None)
+    assert sum(one.held(world.now) for one in world.parts) == pytest.approx(TOTAL)
+
+
+def test_who_hears_nothing_falls_back_to_its_own_part_when_its_loans_end() -> None:
+    world = fleet(3, 2)
+    world.go(6 * SECOND)
+    rich = world.parts[0]
+    for _ in range(8):
+        for _ in range(100):
+            rich.spend(world.clock(0))
+        world.go(EVERY)
+    assert rich.held(world.clock(0)) > 1.5 * rich.own
+    world.loss = 1.0
+    world.go(TERM)
+    assert rich.held(world.clock(0)) == rich.own
+
+
+def test_a_router_that_slept_past_its_loans_wakes_up_with_its_own_part_and_one_bank() -> None:
+    """A late waker does no harm: what it held is looked at with each unit, not when it was lent."""
+    one = Holdings(0, 3, TOTAL, 0, 7)
+    one.borrowed.append(Loan(80.0, 4 * SECOND))
+    one._fill(3 * SECOND)
+    later = 100 * SECOND
+    assert sum(one.spend(later) for _ in range(1000)) <= one.most(later)
+    assert one.held(later) == one.own and not one.borrowed
+
+
+def test_what_an_earlier_life_lent_is_left_alone_until_it_has_ended() -> None:
+    old = Holdings(0, 3, TOTAL, 0, 1)
+    now = 10 * SECOND
+    ((to, word),) = old.heard(now, 1, WORD.pack(QUESTION, 5, 1_000_000))
+    kind, nonce, lent = WORD.unpack(word)
+    assert to == 1 and kind == ANSWER and nonce == 5 and lent == 30_000  # three quarters of 40
+    new = Holdings(0, 3, TOTAL, now, 2)
+    assert new.held(now) + lent / 1000 <= old.own
+    assert new.heard(now, 2, WORD.pack(QUESTION, 6, 1_000_000)) == [], "nor does it lend meanwhile"
+    assert new.held(now + int(TERM * (1 + DRIFT))) == new.own
+
+
+@given(st.binary(max_size=20), st.integers(-2, 4))
+@budget(max_examples=500)
+def test_noise_changes_nothing_that_is_held(data: bytes, sender: int) -> None:
+    one = Holdings(0, 3, TOTAL, 0, 1)
+    now = 10 * SECOND
+    with contextlib.suppress(HoldingError):
+        one.heard(now, sender, data)
+    assert not one.borrowed and one.held(now) <= one.own
+
+
+def test_every_order_of_words_deaths_and_time_keeps_the_sum() -> None:
+    """All interleavings to a depth: three routers, each may ask for all, answers come, are lost, or come
+    again after any of it, routers die and start anew, and half a term passes."""
+    depth, start = 5, 10 * SECOND
+    first = tuple(Holdings(n, 3, 12.0, 0, n) for n in range(3))
+    seen: set[object] = set()
+    states = 0
+
+    def key(parts: tuple[Holdings, ...], words: tuple[tuple[int, int, bytes], ...], now: int) -> object:
+        rows = [
+            (
+                sorted((round(x.rate, 6), x.until) for x in one.lent),
+                sorted((round(x.rate, 6), x.until) for x in one.borrowed),
+                sorted(one.questions.values()),
+                one.quiet_until,
+            )
+            for one in parts
+        ]
+        return repr(rows), words, now
+
+    def twin(parts: tuple[Holdings, ...]) -> tuple[Holdings, ...]:
+        made = tuple(copy.copy(one) for one in parts)
+        for one in made:
+            one.lent, one.borrowed, one.questions = list(one.lent), list(one.borrowed), dict(one.questions)
+        return made
+
+    def explore(
+        parts: tuple[Holdings, ...], words: tuple[tuple[int, int, bytes], ...], now: int, left: int
+    ) -> None:
+        nonlocal states
+        here = (key(parts, words, now), left)
+        if here in seen:
+            return
+        seen.add(here)
+        states += 1
+        assert sum(one.held(now) for one in parts) <= 12.0 + 1e-6
+        if not left:
+            return
+        for n in range(2):  # the third only lends
+            mine = twin(parts)
+            asked = mine[n]._question(now, (n + 1) % 3, 12.0)
+            explore(mine, (*words, (n, (n + 1) % 3, asked)), now, left - 1)
+        for word in words[-3:]:
+            source, to, data = word
+            mine = twin(parts)
+            answers = mine[to].heard(now, source, data)
+            more = tuple((to, whom, one) for whom, one in answers)
+            rest = tuple(one for one in words if one is not word)
+            explore(mine, rest + more, now, left - 1)
+            explore(mine, words + more, now, left - 1)  # and once more later
+        for n in range(3):
+            mine = twin(parts)
+            fresh = Holdings(n, 3, 12.0, now, n + 100)
+            explore((*mine[:n], fresh, *mine[n + 1 :]), words, now, left - 1)
+        explore(twin(parts), words, now + TERM // 2, left - 1)
+
+    explore(first, (), start, depth)
+    assert states > 1000
--- a/tests/fleet/test_wired.py
+++ b/tests/fleet/test_wired.py
@@ -51,9 +51,9 @@
         assert service.peers is not None and service.peers.transport is not None
         here = service.peers.transport.get_extra_info("sockname")
         service.directory.take(listing(2, entry("c1", "127.0.0.1:1"), whole=False))
-        service.driver.tell_peers([api.Seen("c0", 40_000_000)])
+        service.driver.tell_peers([api.Seen("c0", 900_000_000)])
         (word,) = decode(friend.recv(512), hashes(["c0"]))
-        assert word.server == "c0" and word.elapsed == pytest.approx(40_000_000, rel=0.06)
+        assert word.server == "c0" and word.elapsed == pytest.approx(900_000_000, rel=0.06)
         for name in ("c0", "c1"):
             server = service.balancer.fleet.servers[name]
             before = server.latency
--- /dev/null
+++ b/tests/policy/test_sums.py
@@ -0,0 +1,121 @@
+"""What is shared by all routers, as the decisions heed it: parts of a customer's share, totals, and this
+router's own connections, of which no other server has more."""
+
+import pytest
+from support import MILLI, SECOND, Router, fleet, settings
+
+from rainhitch import interface as api
+
+S = api.Status
+QUOTA = 40.0
+
+
+def of_two(**changes: object) -> Router:
+    """A router of ten, and two customers."""
+    return Router(settings(balancers=10, tenants=[api.Tenant(QUOTA), api.Tenant(QUOTA)], **changes))
+
+
+def marked(router: Router, rate: int, seconds: int, told: list[float] | None) -> float:
+    """Which part of the second customer's requests is taken to be beyond its share."""
+    beyond = 0
+    for n in range(rate * seconds):
+        router.wait(SECOND // rate)
+        if told is not None:
+            router.tell(api.Part(told, SECOND))
+        beyond += router.balancer.shares.exceeds(api.Request(str(n), 0, 0, "k", tenant=1))
+    return beyond / (rate * seconds)
+
+
+def test_a_customer_within_its_share_is_never_marked_however_unevenly_its_traffic_comes() -> None:
+    """Guards small customers: nearly all of one's requests come to this router, which took a tenth of its
+    share for its part of it, or the median customer's for all."""
+    assert marked(of_two(), 30, 20, [0.0, 0.9]) == 0
+    assert marked(of_two(), 30, 20, None) > 0.5, "what it reckons alone"
+
+
+@pytest.mark.parametrize(("part", "wanted"), [(0.5, 0.5), (1.0, 0.0), (0.25, 0.75), (0.0, 0.9)])
+def test_what_is_beyond_the_part_that_the_counts_tell_is_marked(part: float, wanted: float) -> None:
+    assert marked(of_two(), int(QUOTA), 30, [0.0, part]) == pytest.approx(wanted, abs=0.05)
+
+
+def test_one_part_stands_for_all_customers_where_one_is_told() -> None:
+    assert marked(of_two(), int(QUOTA), 30, [0.5]) == pytest.approx(0.5, abs=0.05)
+
+
+def test_a_surge_of_all_customers_gives_no_router_more_than_the_whole() -> None:
+    """Guards a router that hears nobody: ten times the load of all customers was taken for ten times its
+    part, and nothing was marked for seconds."""
+    router = of_two()
+    for n in range(4000):
+        router.wait(SECOND // 800)
+        router.balancer.shares.exceeds(api.Request(f"a{n}", 0, 0, "k", tenant=0))
+        router.balancer.shares.exceeds(api.Request(f"b{n}", 0, 0, "k", tenant=1))
+    assert router.balancer.shares.parts == [1]
+
+
+def test_a_told_part_ends() -> None:
+    router = of_two()
+    router.tell(api.Part([1.0, 1.0], SECOND))
+    router.wait(2 * SECOND)
+    assert marked(router, int(QUOTA), 10, None) > 0.5
+
+
+def test_work_that_finds_no_connection_of_the_routers_own_is_refused_at_once() -> None:
+    """Guards the budget for retries: a full table of its own was tried five times a request at as many
+    servers, and nothing was left for those whose server had failed."""
+    router = Router(settings(), fleet(6))
+    before = {name: one.latency for name, one in router.balancer.fleet.servers.items()}
+    for n in range(20):
+        _, (send,) = router.ask(f"k{n}")
+        (refused,) = router.end(send, S.NO_ROOM, 0, 1)
+        assert refused == api.Refuse(send.id, refused.retry_after)  # type: ignore[union-attr]
+        assert refused.why == "room"
+    assert {name: one.latency for name, one in router.balancer.fleet.servers.items()} == before
+    assert not any(one.out or one.fails for one in router.balancer.fleet.servers.values())
+
+
+def test_a_write_waits_for_room_while_its_aim_lasts() -> None:
+    router = Router(settings(), fleet(6))
+    _, (send,) = router.ask("k", 1, write=True)
+    assert router.end(send, S.NO_ROOM, 0, 1) == []
+    assert [type(one) for one in router.wait(200 * MILLI)] == [api.Send]
+
+
+def test_reads_of_the_origin_end_where_the_total_of_all_routers_does() -> None:
+    router = Router(settings(), fleet(6))
+    left = [1]
+
+    def allowance(now: int) -> bool:
+        left[0] -= 1
+        return left[0] >= 0
+
+    router.balancer.allowance = allowance
+    how = []
+    for n in range(3):
+        _, (send,) = router.ask(f"k{n}")
+        how.append(router.end(send, S.MISS)[0])
+    assert isinstance(how[0], api.Send)
+    assert [one.why for one in how[1:] if isinstance(one, api.Refuse)] == ["total", "total"]
+    name, (send,) = router.ask("w", 1, write=True)
+    assert isinstance(send, api.Send) and send.id == name, "orders are not in it"
+
+
+def test_work_beyond_a_share_gets_the_tokens_that_a_full_bank_would_lose_and_no_other() -> None:
+    """Guards a database that idles: all marked misses were refused for as long as the throttle was on."""
+    router = of_two()
+    router.throttle_on()
+    throttle = router.balancer.gate.monitor.throttle
+    assert throttle is not None
+    throttle.rate, throttle.level, throttle.bank = 20.0, 0, 4
+
+    def beyond(name: str) -> api.Action:
+        router.balancer.shares.exceeds = lambda event: True  # type: ignore[method-assign]
+        router.count += 1
+        (action, *_) = router.tell(api.Request(name, 0, router.now + 2 * SECOND, name))
+        return action
+
+    refused = beyond("first")
+    assert isinstance(refused, api.Refuse) and refused.why == "throttle+"
+    router.balancer.turn.now = router.now = router.now + 210 * MILLI  # four tokens: the bank is full
+    assert isinstance(beyond("second"), api.Send)
+    assert isinstance(beyond("third"), api.Refuse), "the next token is not one that would be lost"
--- a/tests/support.py
+++ b/tests/support.py
@@ -48,6 +48,7 @@
         self.balancer = Balancer(options or settings(), 7, damper)
         self.now = START
         self.alarms: list[tuple[int, str]] = []
+        self.round_at = START + self.balancer.settings.tell_every  # when the next period is over
         self.log: list[str] = []
         self.count = 0
         listed = fleet() if members is None else members
@@ -66,13 +67,23 @@
         return actions
 
     def wait(self, delay: int) -> list[api.Action]:
-        """Lets time pass, with every alarm on the way."""
+        """Lets time pass, with every alarm on the way, and each period between routers where they tell."""
         end, actions = self.now + delay, []
-        while self.alarms and min(self.alarms)[0] <= end:
-            alarm = min(self.alarms)
-            self.alarms.remove(alarm)
+        every = self.balancer.settings.tell_every
+        while True:
+            due = [(at, token) for at, token in self.alarms if at <= end]
+            if every and self.round_at <= end:
+                due.append((self.round_at, ""))
+            if not due:
+                break
+            alarm = min(due)
             self.now = max(self.now, alarm[0])
-            actions += self.tell(api.Alarm(alarm[1]))
+            if alarm[1]:
+                self.alarms.remove(alarm)
+                actions += self.tell(api.Alarm(alarm[1]))
+            else:
+                self.round_at += every
+                actions += self.tell(api.Round())
         self.now = end
         return actions
 
