--- a/rainhitch/fleet/exchange.py
+++ b/rainhitch/fleet/exchange.py
@@ -27,6 +27,7 @@
 COUNT = 0xC1
 EVERYONE = -1
 STEP = 100_000_000  # ns between two steps
+PARTS = 5  # steps between two looks at the parts
 MOST_A_SECOND = 100  # datagrams that are read of one router a second; a flood costs no more
 Sent = list[tuple[int, bytes]]
 Json = dict[str, Any]
@@ -61,6 +62,7 @@
         total = options.database_rps if named else 0.0
         self.holdings = Holdings(me, routers, total, now, seed) if total else None
         self.count_at = now + (0 if self.counts is None else self.random.randrange(self.counts.every))
+        self.steps = 0
         self.read: dict[int, int] = {}  # datagrams of each router in the second that runs
         self.second = 0
 
@@ -91,8 +93,11 @@
 
     def part(self, now: int) -> Part | None:
         """This router's part of each customer's requests, where the counts tell it."""
-        parts = [] if self.counts is None else self.counts.parts(now)
-        return Part(parts, 2 * STEP) if parts else None
+        self.steps += 1
+        if self.counts is None or self.steps % PARTS:
+            return None
+        parts = self.counts.parts(now)
+        return Part(parts, 2 * PARTS * STEP) if parts else None
 
     def heard(self, now: int, sender: int, data: bytes) -> Heard:
         """A datagram of another router. Raises WordError."""
--- a/rainhitch/policy/gate.py
+++ b/rainhitch/policy/gate.py
@@ -50,9 +50,7 @@
             return
         self._release(None)
         wait = throttle.wait_for(1 - throttle.level)
-        # Guards idle capacity: what is beyond a share gets the tokens that a full bank would lose.
-        last = job.marked and throttle.level < throttle.bank
-        verdict = None if last or self.turn.now + wait > job.due else throttle.offer(job)
+        verdict = None if job.marked or self.turn.now + wait > job.due else throttle.offer(job)
         if verdict:
             self.monitor.spent.add(self.turn.now)
             self.proceed(job)
--- /dev/null
+++ b/tests/fleet/test_processes.py
@@ -0,0 +1,273 @@
+"""Several processes of the program, in a world of stand-ins, with faults between them: what they share stays
+within its bounds. Counted where it counts: at the stand-in database, at the stand-in nodes, and in what each
+router believes.
+"""
+
+import asyncio
+import json
+import sys
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+from lossy import SECOND
+
+from rainhitch.cli.fleet import ask_all
+from rainhitch.rehearsal.plan import Ask, draw
+from rainhitch.rehearsal.play import our_router
+from rainhitch.rehearsal.routers import Router, free_port
+from rainhitch.rehearsal.scenario import scenario_of
+from rainhitch.rehearsal.stage import Stage
+
+Json = dict[str, Any]
+TOTAL = 24.0  # reads of the database a second that all routers may send
+
+
+class Watched(Stage):
+    """A day that keeps what its routers wrote, and asks them now and then what they believe."""
+
+    def router(self, number: int, config: Json) -> Router:
+        if not hasattr(self, "admins"):
+            self.admins: list[tuple[str, int]] = []
+            self.views: list[tuple[float, list[Json]]] = []  # seconds from the first scored one; by router
+        self.admins.append(("127.0.0.1", free_port()))
+        config["admin_addr"] = "{}:{}".format(*self.admins[-1])
+        return super().router(number, config)
+
+    async def _through(self, clients: Any) -> None:
+        looking = asyncio.get_running_loop().create_task(self._look())
+        try:
+            await super()._through(clients)
+        finally:
+            looking.cancel()
+
+    async def _look(self) -> None:
+        while True:
+            views = await ask_all(self.admins)
+            self.views.append(((asyncio.get_running_loop().time() * SECOND - self.zero) / SECOND, views))
+            await asyncio.sleep(0.25)
+
+    async def _ledgers(self) -> Json:
+        rows = await super()._ledgers()
+        rows["logs"] = [one.log.read_text(errors="replace") for one in self.routers]
+        rows["views"] = self.views
+        return rows
+
+
+def play(
+    routers: int,
+    faults: list[Json],
+    operator: str = "",
+    length_s: float = 8.0,
+    change: Callable[[list[Ask]], None] = lambda asks: None,
+    words: list[str] | None = None,
+    **traffic: Any,
+) -> Json:
+    """Plays a day of so many processes; gives its ledgers, and its plan under `plan`."""
+    scenario = scenario_of(
+        {
+            "about": "what routers share",
+            "must": "its bounds",
+            "day": {"length_s": length_s, "prelude_s": 1.0},
+            "fleet": {
+                "rooms": ["neihu"],
+                "routers": routers,
+                "memory_keys": 30,
+                "nodes": [{"name": "full-node", "count": 4, "cores": 8, "speed": 1.0}],
+            },
+            "database": {"workers": 40, "queue": 400, "time_ms": 20.0},
+            "traffic": {"rate": 90.0, "quota_rps": 200.0, "keys": 20000, "zipf": 0.0, **traffic},
+            "faults": faults,
+        },
+        "processes",
+    )
+    plan = draw(scenario, "processes", 7)
+    change(plan.asks)
+    stage = Watched(scenario, plan, words or our_router(), operator=operator)
+    ledgers = asyncio.run(stage.play())
+    assert all(one["crash"] is None for one in ledgers["routers"]), ledgers["logs"]
+    return ledgers | {"plan": plan}
+
+
+def reads(ledgers: Json) -> list[tuple[float, int]]:
+    """When the database got each read, in seconds from the first scored one, and from which router."""
+    rows = [one for one in ledgers["parts"]["centre"]["fetches"] if not one["write"]]
+    return sorted(((one["last"] - ledgers["zero"]) / SECOND, one["router"]) for one in rows)
+
+
+def most_within(times: list[float], span: float) -> int:
+    """The most events in any stretch of that length."""
+    most = first = 0
+    for last, at in enumerate(times):
+        while times[first] < at - span:
+            first += 1
+        most = max(most, last - first + 1)
+    return most
+
+
+def to_one(router: int, part: float) -> Callable[[list[Ask]], None]:
+    """Sends so much of the load to one router."""
+
+    def change(asks: list[Ask]) -> None:
+        for number, ask in enumerate(asks):
+            if ask.at >= 0 and number % 100 < 100 * part:
+                ask.router = router
+
+    return change
+
+
+FAULTS: list[Json] = [
+    {"kind": "messages-doubled", "at_s": 0.5, "for_s": 9.0, "share": 0.5},
+    {"kind": "messages-shuffled", "at_s": 0.5, "for_s": 9.0, "delay_s": 2.0},
+    {"kind": "routers-apart", "at_s": 5.0, "for_s": 2.0, "group": [0]},
+    {"kind": "routers-apart", "at_s": 7.5, "for_s": 2.0, "group": [1, 2], "oneway": True},
+    {"kind": "router-pause", "at_s": 5.5, "for_s": 3.0, "router": 1},
+    {"kind": "router-kill", "at_s": 6.0, "for_s": 0.5, "router": 2},
+]
+
+
+@pytest.mark.parametrize("faults", [[], FAULTS], ids=["calm", "faults"])
+def test_processes_reads_of_the_database_stay_within_the_total(faults: list[Json]) -> None:
+    """Four processes, nine tenths of the load at one of them: loans move the total there, and through words
+    that come twice and late, cuts both ways and one way, a process that is stopped past its loans' end and
+    one that is killed and started anew, the database gets no more in any stretch than the total and what the
+    banks hold."""
+    ledgers = play(
+        4,
+        faults,
+        f"[routers]\ndatabase_rps = {TOTAL}\nmembers = true\n",
+        length_s=12.0,
+        change=to_one(0, 0.9),
+    )
+    times = [at for at, _ in reads(ledgers) if at >= 0]
+    for span in (0.5, 1.0, 2.0, 4.0, 8.0):
+        assert most_within(times, span) <= TOTAL * span + TOTAL + 2 * 4, f"in {span} s"
+    asked = sum(1 for one in ledgers["plan"].asks if one.at >= 0)
+    assert asked > 2 * TOTAL * 12, "far more was asked for"
+    if not faults:
+        late = [router for at, router in reads(ledgers) if at >= 7]
+        assert late.count(0) > 5 * TOTAL / 2, "its own part is a quarter: the rest was lent to it"
+    for _, views in ledgers["views"]:
+        held = [one["holds"]["now"] for one in views if "holds" in one]
+        assert sum(held) <= TOTAL * 4 / 3, "asked one after the other: a loan may end in between"
+
+
+def test_processes_without_a_total_the_database_gets_all() -> None:
+    """The bound above is the mechanism's: without it the same load goes over it."""
+    ledgers = play(4, [], "", length_s=5.0, change=to_one(0, 0.9))
+    times = [at for at, _ in reads(ledgers) if at >= 0]
+    assert most_within(times, 4.0) > TOTAL * 4.0 + TOTAL + 2 * 4
+
+
+def beyond(ledgers: Json, customer: str, after: float = 6.0) -> tuple[int, int]:
+    """Requests of a customer that routers took to be beyond its share from then on, and all of them."""
+    counts = [0, 0]
+    for log in ledgers["logs"]:
+        first = None
+        for line in log.splitlines():
+            if " second {" not in line:
+                continue
+            told = json.loads(line.partition(" second ")[2])
+            if told["taken"] and first is None:
+                first = told["at"]
+            if first is None or told["at"] < first + after:
+                continue
+            for name, many in told.get("customers", {}).items():
+                if name.startswith(customer):
+                    counts[1] += many
+                    counts[0] += many * name.startswith(customer + "+")
+    return counts[0], counts[1]
+
+
+@pytest.mark.parametrize("counted", [True, False])
+def test_processes_a_customer_within_its_share_is_not_marked_where_most_of_it_comes_to_one(
+    counted: bool,
+) -> None:
+    """Three processes; all of a small customer's load comes to one, and words are lost at times, doubled and
+    late. With the counts next to nothing of it is taken to be beyond its share; without them most is."""
+
+    def change(asks: list[Ask]) -> None:
+        for ask in asks:
+            if ask.at >= 0:
+                ask.customer = min(ask.customer, 1)
+                ask.router = 0 if ask.customer == 1 else 1 + ask.at % 2
+
+    faults = [
+        {"kind": "messages-lost", "at_s": 2.0, "for_s": 8.0, "share": 0.3},
+        {"kind": "messages-doubled", "at_s": 2.0, "for_s": 8.0, "share": 0.5},
+        {"kind": "messages-late", "at_s": 2.0, "for_s": 8.0, "delay_s": 0.5},
+    ]
+    ledgers = play(
+        3,
+        faults,
+        f"[routers]\ncounts = {str(counted).lower()}\n",
+        length_s=10.0,
+        change=change,
+        keys=60,
+    )
+    marked, of = beyond(ledgers, "xinzhu-textile")
+    assert of > 60
+    if counted:
+        assert marked <= 0.05 * of
+    else:
+        assert marked > 0.2 * of
+
+
+UNAWARE = "import rainhitch.fleet.away as a; a.LATE = 10**18; from rainhitch.node.program import main; main()"
+
+
+def sent_for_nobody(ledgers: Json, router: int) -> tuple[int, int]:
+    """Of a router's attempts in the second after it was let go on: those for tries whose client had given up
+    before, and all."""
+    over = {
+        one["id"]: one["left"] or one["sent"] + one["wait"]
+        for part, told in ledgers["parts"].items()
+        if part.startswith("clients")
+        for one in told["sent"]
+        if one["sent"]
+    }
+    (woke,) = [at for what, at in ledgers["routers"][router]["events"] if what == "wake"]
+    centre = ledgers["parts"]["centre"]["fetches"]
+    nodes = [
+        one for part, told in ledgers["parts"].items() if part[:5] == "nodes" for one in told["attempts"]
+    ]
+    mine = [
+        one for one in centre + nodes if one["router"] == router and woke <= one["first"] <= woke + SECOND
+    ]
+    return sum(one["first"] > over.get(one["id"], 1 << 62) + SECOND // 20 for one in mine), len(mine)
+
+
+def test_processes_a_router_that_was_stopped_sends_nothing_for_who_has_left() -> None:
+    """Three processes, one stopped for four seconds under load: nothing goes out for clients that have given
+    up meanwhile, though its timers come before its sockets are read, and what waits there looks new. The
+    program without its sense of absence does send for them."""
+    pause = [{"kind": "router-pause", "at_s": 2.0, "for_s": 4.0, "router": 0}]
+    aware = play(3, pause, length_s=9.0, rate=150.0)
+    assert any("away for" in line for line in aware["logs"][0].splitlines())
+    late, sent = sent_for_nobody(aware, 0)
+    assert late == 0 and sent > 0
+    unaware = play(3, pause, length_s=9.0, rate=150.0, words=[sys.executable, "-c", UNAWARE])
+    assert sent_for_nobody(unaware, 0)[0] > 0
+
+
+def test_processes_find_out_who_is_gone_and_a_late_waker_talks_nobody_away() -> None:
+    """Five processes: one is killed for good, one is stopped and comes back. All others find out; who was
+    stopped doubts itself, not them; and it is held as there again soon after."""
+    ledgers = play(
+        5,
+        [
+            {"kind": "router-kill", "at_s": 1.0, "for_s": 100.0, "router": 4},
+            {"kind": "router-pause", "at_s": 1.0, "for_s": 14.0, "router": 3},
+        ],
+        "[routers]\nmembers = true\n",
+        length_s=24.0,
+        rate=20.0,
+    )
+    away = [views for at, views in ledgers["views"] if 13 <= at < 14.5]
+    assert away
+    assert any(all(one.get("gone") == [3, 4] for one in views[:3]) for views in away), away
+    last = ledgers["views"][-1][1]
+    assert [one.get("gone") for one in last[:4]] == [[4]] * 4, last
+    for at, views in ledgers["views"]:
+        if at > 15.2:
+            assert views[3].get("gone", [4]) in ([], [4]), "it never told that those are gone who are not"
