--- a/tests/fleet/test_processes.py
+++ b/tests/fleet/test_processes.py
@@ -21,6 +21,7 @@
 
 Json = dict[str, Any]
 TOTAL = 24.0  # reads of the database a second that all routers may send
+AT_ONCE = 4  # days side by side
 
 
 class Watched(Stage):
@@ -54,7 +55,7 @@
         return rows
 
 
-def play(
+def stage(
     routers: int,
     faults: list[Json],
     operator: str = "",
@@ -62,8 +63,8 @@
     change: Callable[[list[Ask]], None] = lambda asks: None,
     words: list[str] | None = None,
     **traffic: Any,
-) -> Json:
-    """Plays a day of so many processes; gives its ledgers, and its plan under `plan`."""
+) -> Watched:
+    """A day of so many processes."""
     scenario = scenario_of(
         {
             "about": "what routers share",
@@ -83,10 +84,7 @@
     )
     plan = draw(scenario, "processes", 7)
     change(plan.asks)
-    stage = Watched(scenario, plan, words or our_router(), operator=operator)
-    ledgers = asyncio.run(stage.play())
-    assert all(one["crash"] is None for one in ledgers["routers"]), ledgers["logs"]
-    return ledgers | {"plan": plan}
+    return Watched(scenario, plan, words or our_router(), operator=operator)
 
 
 def reads(ledgers: Json) -> list[tuple[float, int]]:
@@ -124,150 +122,148 @@
     {"kind": "router-pause", "at_s": 5.5, "for_s": 3.0, "router": 1},
     {"kind": "router-kill", "at_s": 6.0, "for_s": 0.5, "router": 2},
 ]
+WORDS: list[Json] = [
+    {"kind": "messages-lost", "at_s": 2.0, "for_s": 8.0, "share": 0.3},
+    {"kind": "messages-doubled", "at_s": 2.0, "for_s": 8.0, "share": 0.5},
+    {"kind": "messages-late", "at_s": 2.0, "for_s": 8.0, "delay_s": 0.5},
+]
+PAUSE: list[Json] = [{"kind": "router-pause", "at_s": 2.0, "for_s": 4.0, "router": 0}]
+GONE: list[Json] = [
+    {"kind": "router-kill", "at_s": 1.0, "for_s": 100.0, "router": 4},
+    {"kind": "router-pause", "at_s": 1.0, "for_s": 12.0, "router": 3},
+]
+HELD = f"[routers]\ndatabase_rps = {TOTAL}\nmembers = true\n"
+# The program without its sense of absence.
+UNAWARE = "import rainhitch.fleet.away as a; a.LATE = 10**18; from rainhitch.node.program import main; main()"
+
+
+def small_at_one(asks: list[Ask]) -> None:
+    """All of a small customer's load comes to router 0."""
+    for ask in asks:
+        if ask.at >= 0:
+            ask.customer = min(ask.customer, 1)
+            ask.router = 0 if ask.customer == 1 else 1 + ask.at % 2
+
+
+def days() -> dict[str, Watched]:
+    """All days of this file."""
+    mostly = to_one(0, 0.9)
+    return {
+        "total": stage(4, [], HELD, 9.0, mostly),
+        "total, faults": stage(4, FAULTS, HELD, 11.0, mostly),
+        "no total": stage(4, [], "", 5.0, mostly),
+        "counted": stage(3, WORDS, "", 10.0, small_at_one, keys=60),
+        "not counted": stage(3, WORDS, "[routers]\ncounts = false\n", 10.0, small_at_one, keys=60),
+        "stopped": stage(3, PAUSE, "", 8.0, rate=150.0),
+        "stopped, unaware": stage(3, PAUSE, "", 8.0, words=[sys.executable, "-c", UNAWARE], rate=150.0),
+        "gone": stage(5, GONE, "[routers]\nmembers = true\n", 20.0, rate=20.0),
+    }
+
 
+async def play_all() -> dict[str, Json]:
+    free = asyncio.Semaphore(AT_ONCE)
 
-@pytest.mark.parametrize("faults", [[], FAULTS], ids=["calm", "faults"])
-def test_processes_reads_of_the_database_stay_within_the_total(faults: list[Json]) -> None:
+    async def play(day: Watched) -> Json:
+        async with free:
+            ledgers = await day.play()
+        assert all(one["crash"] is None for one in ledgers["routers"]), ledgers["logs"]
+        return ledgers | {"asks": sum(ask.at >= 0 for ask in day.plan.asks)}
+
+    played = days()
+    made = await asyncio.gather(*(play(day) for day in played.values()))
+    return dict(zip(played, made, strict=True))
+
+
+@pytest.fixture(scope="module")
+def ledgers() -> dict[str, Json]:
+    """The days, played some at a time: their ledgers by name."""
+    return asyncio.run(play_all())
+
+
+@pytest.mark.parametrize("name", ["total", "total, faults"])
+def test_processes_reads_of_the_database_stay_within_the_total(ledgers: dict[str, Json], name: str) -> None:
     """Four processes, nine tenths of the load at one of them: loans move the total there, and through words
     that come twice and late, cuts both ways and one way, a process that is stopped past its loans' end and
     one that is killed and started anew, the database gets no more in any stretch than the total and what the
     banks hold."""
-    ledgers = play(
-        4,
-        faults,
-        f"[routers]\ndatabase_rps = {TOTAL}\nmembers = true\n",
-        length_s=12.0,
-        change=to_one(0, 0.9),
-    )
-    times = [at for at, _ in reads(ledgers) if at >= 0]
+    times = [at for at, _ in reads(ledgers[name]) if at >= 0]
     for span in (0.5, 1.0, 2.0, 4.0, 8.0):
         assert most_within(times, span) <= TOTAL * span + TOTAL + 2 * 4, f"in {span} s"
-    asked = sum(1 for one in ledgers["plan"].asks if one.at >= 0)
-    assert asked > 2 * TOTAL * 12, "far more was asked for"
-    if not faults:
-        late = [router for at, router in reads(ledgers) if at >= 7]
-        assert late.count(0) > 5 * TOTAL / 2, "its own part is a quarter: the rest was lent to it"
-    for _, views in ledgers["views"]:
+    assert ledgers[name]["asks"] > 2 * TOTAL * 9, "far more was asked for"
+    for _, views in ledgers[name]["views"]:
         held = [one["holds"]["now"] for one in views if "holds" in one]
         assert sum(held) <= TOTAL * 4 / 3, "asked one after the other: a loan may end in between"
 
 
-def test_processes_without_a_total_the_database_gets_all() -> None:
+def test_processes_lend_the_total_to_the_one_that_needs_it(ledgers: dict[str, Json]) -> None:
+    late = [router for at, router in reads(ledgers["total"]) if at >= 5]
+    assert late.count(0) > 4 * TOTAL / 2, "its own part is a quarter: the rest was lent to it"
+
+
+def test_processes_without_a_total_send_the_database_all(ledgers: dict[str, Json]) -> None:
     """The bound above is the mechanism's: without it the same load goes over it."""
-    ledgers = play(4, [], "", length_s=5.0, change=to_one(0, 0.9))
-    times = [at for at, _ in reads(ledgers) if at >= 0]
+    times = [at for at, _ in reads(ledgers["no total"]) if at >= 0]
     assert most_within(times, 4.0) > TOTAL * 4.0 + TOTAL + 2 * 4
 
 
-def beyond(ledgers: Json, customer: str, after: float = 6.0) -> tuple[int, int]:
-    """Requests of a customer that routers took to be beyond its share from then on, and all of them."""
-    counts = [0, 0]
-    for log in ledgers["logs"]:
-        first = None
-        for line in log.splitlines():
-            if " second {" not in line:
-                continue
-            told = json.loads(line.partition(" second ")[2])
-            if told["taken"] and first is None:
-                first = told["at"]
-            if first is None or told["at"] < first + after:
-                continue
-            for name, many in told.get("customers", {}).items():
+def beyond(told: Json, customer: str, after: float = 6.0) -> float:
+    """Which part of a customer's requests routers took to be beyond its share from then on."""
+    marked = of = 0
+    for log in told["logs"]:
+        seconds = [
+            json.loads(line.partition(" second ")[2]) for line in log.splitlines() if " second {" in line
+        ]
+        first = next(one["at"] for one in seconds if one["taken"])
+        for one in seconds:
+            for name, many in one.get("customers", {}).items() if one["at"] >= first + after else ():
                 if name.startswith(customer):
-                    counts[1] += many
-                    counts[0] += many * name.startswith(customer + "+")
-    return counts[0], counts[1]
+                    of += many
+                    marked += many * name.startswith(customer + "+")
+    assert of > 60
+    return marked / of
 
 
-@pytest.mark.parametrize("counted", [True, False])
-def test_processes_a_customer_within_its_share_is_not_marked_where_most_of_it_comes_to_one(
-    counted: bool,
+def test_processes_a_customer_within_its_share_is_not_marked_where_its_load_comes_to_one(
+    ledgers: dict[str, Json],
 ) -> None:
     """Three processes; all of a small customer's load comes to one, and words are lost at times, doubled and
-    late. With the counts next to nothing of it is taken to be beyond its share; without them most is."""
-
-    def change(asks: list[Ask]) -> None:
-        for ask in asks:
-            if ask.at >= 0:
-                ask.customer = min(ask.customer, 1)
-                ask.router = 0 if ask.customer == 1 else 1 + ask.at % 2
-
-    faults = [
-        {"kind": "messages-lost", "at_s": 2.0, "for_s": 8.0, "share": 0.3},
-        {"kind": "messages-doubled", "at_s": 2.0, "for_s": 8.0, "share": 0.5},
-        {"kind": "messages-late", "at_s": 2.0, "for_s": 8.0, "delay_s": 0.5},
-    ]
-    ledgers = play(
-        3,
-        faults,
-        f"[routers]\ncounts = {str(counted).lower()}\n",
-        length_s=10.0,
-        change=change,
-        keys=60,
-    )
-    marked, of = beyond(ledgers, "xinzhu-textile")
-    assert of > 60
-    if counted:
-        assert marked <= 0.05 * of
-    else:
-        assert marked > 0.2 * of
+    late. With the counts next to nothing of it is taken to be beyond its share; without them much is."""
+    assert beyond(ledgers["counted"], "xinzhu-textile") <= 0.05
+    assert beyond(ledgers["not counted"], "xinzhu-textile") > 0.2
 
 
-UNAWARE = "import rainhitch.fleet.away as a; a.LATE = 10**18; from rainhitch.node.program import main; main()"
-
-
-def sent_for_nobody(ledgers: Json, router: int) -> tuple[int, int]:
+def sent_for_nobody(told: Json, router: int) -> tuple[int, int]:
     """Of a router's attempts in the second after it was let go on: those for tries whose client had given up
     before, and all."""
-    over = {
-        one["id"]: one["left"] or one["sent"] + one["wait"]
-        for part, told in ledgers["parts"].items()
-        if part.startswith("clients")
-        for one in told["sent"]
-        if one["sent"]
-    }
-    (woke,) = [at for what, at in ledgers["routers"][router]["events"] if what == "wake"]
-    centre = ledgers["parts"]["centre"]["fetches"]
-    nodes = [
-        one for part, told in ledgers["parts"].items() if part[:5] == "nodes" for one in told["attempts"]
-    ]
+    clients = [one for part, rows in told["parts"].items() if part[:7] == "clients" for one in rows["sent"]]
+    over = {one["id"]: one["left"] or one["sent"] + one["wait"] for one in clients if one["sent"]}
+    (woke,) = [at for what, at in told["routers"][router]["events"] if what == "wake"]
+    nodes = [one for part, rows in told["parts"].items() if part[:5] == "nodes" for one in rows["attempts"]]
     mine = [
-        one for one in centre + nodes if one["router"] == router and woke <= one["first"] <= woke + SECOND
+        one
+        for one in nodes + told["parts"]["centre"]["fetches"]
+        if one["router"] == router and woke <= one["first"] <= woke + SECOND
     ]
     return sum(one["first"] > over.get(one["id"], 1 << 62) + SECOND // 20 for one in mine), len(mine)
 
 
-def test_processes_a_router_that_was_stopped_sends_nothing_for_who_has_left() -> None:
+def test_processes_a_router_that_was_stopped_sends_nothing_for_who_has_left(ledgers: dict[str, Json]) -> None:
     """Three processes, one stopped for four seconds under load: nothing goes out for clients that have given
     up meanwhile, though its timers come before its sockets are read, and what waits there looks new. The
     program without its sense of absence does send for them."""
-    pause = [{"kind": "router-pause", "at_s": 2.0, "for_s": 4.0, "router": 0}]
-    aware = play(3, pause, length_s=9.0, rate=150.0)
-    assert any("away for" in line for line in aware["logs"][0].splitlines())
-    late, sent = sent_for_nobody(aware, 0)
+    late, sent = sent_for_nobody(ledgers["stopped"], 0)
     assert late == 0 and sent > 0
-    unaware = play(3, pause, length_s=9.0, rate=150.0, words=[sys.executable, "-c", UNAWARE])
-    assert sent_for_nobody(unaware, 0)[0] > 0
+    assert any("away for" in line for line in ledgers["stopped"]["logs"][0].splitlines())
+    assert sent_for_nobody(ledgers["stopped, unaware"], 0)[0] > 0
 
 
-def test_processes_find_out_who_is_gone_and_a_late_waker_talks_nobody_away() -> None:
+def test_processes_find_out_who_is_gone_and_a_late_waker_talks_nobody_away(ledgers: dict[str, Json]) -> None:
     """Five processes: one is killed for good, one is stopped and comes back. All others find out; who was
     stopped doubts itself, not them; and it is held as there again soon after."""
-    ledgers = play(
-        5,
-        [
-            {"kind": "router-kill", "at_s": 1.0, "for_s": 100.0, "router": 4},
-            {"kind": "router-pause", "at_s": 1.0, "for_s": 14.0, "router": 3},
-        ],
-        "[routers]\nmembers = true\n",
-        length_s=24.0,
-        rate=20.0,
-    )
-    away = [views for at, views in ledgers["views"] if 13 <= at < 14.5]
-    assert away
-    assert any(all(one.get("gone") == [3, 4] for one in views[:3]) for views in away), away
-    last = ledgers["views"][-1][1]
-    assert [one.get("gone") for one in last[:4]] == [[4]] * 4, last
-    for at, views in ledgers["views"]:
-        if at > 15.2:
-            assert views[3].get("gone", [4]) in ([], [4]), "it never told that those are gone who are not"
+    views = ledgers["gone"]["views"]
+    away = [told for at, told in views if 11 <= at < 12.5]
+    assert any(all(one.get("gone") == [3, 4] for one in told[:3]) for told in away), away
+    assert [one.get("gone") for one in views[-1][1][:4]] == [[4]] * 4, views[-1]
+    for at, told in views:
+        if at > 13.2:
+            assert told[3].get("gone", [4]) in ([], [4]), "it never told that those are gone who are not"
