--- a/rainhitch/node/origin.py
+++ b/rainhitch/node/origin.py
@@ -22,8 +22,6 @@
 class OriginConnection(Connection):
     """A connection to the origin."""
 
-    of_table = False
-
     def __init__(self, pool: Pool) -> None:
         super().__init__(pool)
         self.http = Http(f"{pool.endpoint[0]}:{pool.endpoint[1]}", MOST_VALUE, MOST_LONG)
--- a/rainhitch/node/pool.py
+++ b/rainhitch/node/pool.py
@@ -10,7 +10,6 @@
 from rainhitch import system
 from rainhitch.interface import Endpoint, Status
 from rainhitch.node.call import Ending, Exchange
-from rainhitch.node.idling import Idling
 from rainhitch.node.relay import Relay
 from rainhitch.telemetry.counts import Counts
 
@@ -26,8 +25,6 @@
 class Connection(asyncio.Protocol):
     """A connection that carries one attempt at a time and tells how it ended."""
 
-    of_table = True  # its server holds so many and turns away the rest
-
     def __init__(self, pool: "Pool") -> None:
         self.pool = pool
         self.exchange: Exchange | None = None
@@ -113,8 +110,6 @@
             relay, self.relay = self.relay, None
             relay.finish()
         exchange, self.exchange = self.exchange, None
-        if self.of_table and not self.reused:
-            self.pool.pools.idling.ended(ending.status)
         if reusable:
             self.pool.release(self)
         else:
@@ -289,7 +284,7 @@
 
     def hold_idle(self, seconds: float) -> None:
         """Sets for how long a connection may be idle; a server's keepalive bounds it."""
-        self.idling = Idling(min(seconds, self.keepalive * IDLE_PART))
+        self.idle_most = min(seconds, self.keepalive * IDLE_PART)
 
     def add(self, name: str, endpoint: Endpoint, make: Callable[[Pool], Connection]) -> Pool:
         """The pool of a server; one at another endpoint takes the place of the old."""
@@ -332,11 +327,11 @@
     def plan_sweep(self) -> None:
         if not self.sweeping:
             self.sweeping = True
-            asyncio.get_running_loop().call_later(min(SWEEP, self.idling.span / 2), self._sweep)
+            asyncio.get_running_loop().call_later(SWEEP, self._sweep)
 
     def _sweep(self) -> None:
         self.sweeping = False
-        before = asyncio.get_running_loop().time() - self.idling.span
+        before = asyncio.get_running_loop().time() - self.idle_most
         for pool in self.pools.values():
             for connection in [one for one in pool.idle if one.idle_since < before]:
                 connection.close()
--- a/rainhitch/policy/placement.py
+++ b/rainhitch/policy/placement.py
@@ -156,7 +156,7 @@
         owner = names[0] if names else ""
         if job.skip:
             near = near[job.skip :] + near[: job.skip]
-        if self.fleet.crowding() > 1 / 2:
+        if self.fleet.crowded > 1 / 2:
             # Guards against full connection tables: while most connects are refused, those there are do.
             near.sort(key=lambda server: not server.linked)
         for server in near:
--- a/rainhitch/policy/servers.py
+++ b/rainhitch/policy/servers.py
@@ -42,8 +42,9 @@
     load_at: int = 0
 
     def usual(self, now: int, routers: int) -> float:
-        """The answer time to expect now. Guards against a crowd that left long ago: what a server held when
-        it last answered is done after that time, unless others, of whom so many are not heard, send more."""
+        """The answer time to expect by what was last learned. Guards against a crowd that left long ago: what
+        a server held when it last answered is done after that time, unless others send it more, of whom so
+        many are not heard of."""
         crowd = self.latency - self.base
         if not self.base or crowd <= 0:
             return self.latency
@@ -71,7 +72,8 @@
 
     def calm(self, now: int, limit: float, crowd: int, unheard: int, routers: int) -> bool:
         """Whether one more request is answered within the limit, and crowd times its uncrowded answer time.
-        A swamped server gets one trial an answer time from all; `unheard`: routers not heard, and itself."""
+        A swamped server gets one trial an answer time, to recover: from all routers, heard of or not, what
+        a core serves. `unheard`: how many send without this one's hearing of it, with itself."""
         own, reported = self.predict(now, unheard), self.reported(now)
         # Guards quick servers: a few times next to nothing is no crowd.
         if own <= min(limit, crowd * max(self.base or limit, limit / 16)) and reported <= limit * crowd / 2:
@@ -88,8 +90,9 @@
         self.trial = False
 
     def take_up(self, now: int, span: int, elapsed: int, routers: int, least: float = SMOOTHING) -> None:
-        """An answer time, whoever saw it; where answers come seldom, each counts for the time since the last.
-        Guards against a crowd forgotten a bit between any two: only a long silence tells that it has gone."""
+        """An answer time, whoever saw it. Guards against a fleet so wide that answers come seldom: each
+        counts for the time since the last. And against a crowd that stays and is forgotten a bit between
+        two answers: only a silence longer than an answer time tells that it has gone."""
         weight = min(max((now - self.learned_at) / span, least), 1 / 2)
         if now - self.learned_at > self.latency * routers:
             self.latency = self.usual(now, routers)
@@ -118,7 +121,7 @@
         self.servers: dict[str, Server] = {}
         self.origin: Server | None = None
         self.usual = turn.shortest_aim / 8  # moving average of answer times, ns, over all cache servers
-        self.crowded, self.crowded_at = 0.0, 0  # part of the latest new connects that were refused at once
+        self.crowded = 0.0  # part of the latest new connects that were refused at once
         self.heard_at = -(1 << 62)  # when another router's word last came
         self.asks = 0
         self.zones = Zones(turn.settings.connect_timeout)
@@ -195,7 +198,8 @@
                 server.bear(self.turn.now, one.elapsed, one.elapsed > self.turn.shortest_aim // 2)
 
     def unheard(self) -> int:
-        """How many routers send unheard, with itself: all, or, while words come, itself alone."""
+        """How many routers send without this one's hearing of it, with itself: all of them, or, while words
+        come, itself alone."""
         settings = self.turn.settings
         silent = self.turn.now - self.heard_at > HEARD_FOR * settings.tell_every
         return settings.balancers if silent else 1
@@ -227,8 +231,8 @@
         return not self.zones.cut(zone)
 
     def _returns(self, zone: int, since: int) -> None:
-        """Guards a room that comes back cold: each server is tried once, as one down since then, or since
-        just now where a connection has outlived it."""
+        """Guards a room that was lost and comes back cold: each of its servers is tried once, as one that was
+        down since then. Where a connection has outlived it, the room was cut off: down since just now."""
         for server in self.servers.values():
             if server.member.zone == zone and server is not self.origin:
                 server.down_until = self.turn.now
@@ -260,10 +264,6 @@
             server.fails = 0
         server.member = entry
 
-    def crowding(self) -> float:
-        """The same as of now: who uses only the connections that it has learns no more of full tables."""
-        return self.crowded * math.exp((self.crowded_at - self.turn.now) / self.span)
-
     def _ask(self, _: Job | None) -> None:
         self.turn.actions.append(api.Watch())
 
@@ -285,8 +285,7 @@
         # just opened has learned nothing of the server's load.
         table = status is api.Status.FULL and event.reused is False
         if not server.linked and not server.fails and event.elapsed < self.turn.settings.connect_timeout:
-            self.crowded = self.crowding() * (1 - SMOOTHING) + (failed or table) * SMOOTHING
-            self.crowded_at = self.turn.now
+            self.crowded += ((failed or table) - self.crowded) * SMOOTHING
         server.linked = not failed and not table
         # Guards against one broken connection taken for a dead server: who answered just now is none,
         # unless the next one breaks too.
@@ -302,7 +301,7 @@
         elif server.fails and status in (api.Status.OK, api.Status.MISS, api.Status.FULL, api.Status.ERROR):
             server.fails = 0
             self.turn.actions.append(api.Log(f"server {event.server} answers again"))
-            if self.turn.now - server.down_since > SECOND and self.crowding() <= 1 / 2 and not event.reused:
+            if self.turn.now - server.down_since > SECOND and self.crowded <= 1 / 2 and not event.reused:
                 # A process that died comes back cold, before the list tells; an old connection outlives none.
                 server.cold_since = self.turn.now
         # Guards against a swamped server whose keys went elsewhere: a trial that misses tells as well.
