--- a/rainhitch/policy/shares.py
+++ b/rainhitch/policy/shares.py
@@ -33,7 +33,7 @@
             both = zip(self.shares, quotas, strict=True)
             used = sorted(rate.per_second(self.turn.now) / one.quota for rate, one in both if one.quota)
             # Guards against a surge of all customers taken for this router's part: it is no more than all.
-            part = max(1 / self.turn.settings.balancers, min(1, used[(len(used) - 1) // 2]))
-            self.parts, self.until = [part], self.turn.now + PART_KEPT
-        rate = quotas[event.tenant].quota * self.parts[event.tenant % len(self.parts)]
+            self.parts, self.until = [min(1, used[(len(used) - 1) // 2])], self.turn.now + PART_KEPT
+        part = self.parts[event.tenant % len(self.parts)]
+        rate = quotas[event.tenant].quota * max(1 / self.turn.settings.balancers, part)
         return not self.banks[event.tenant].take(self.turn.now, rate, max(LEAST_TOTAL, rate))
