--- a/rainhitch/fleet/exchange.py
+++ b/rainhitch/fleet/exchange.py
@@ -55,7 +55,7 @@
         self.me, self.routers = me, routers
         self.random = Random(f"{seed}/exchange")
         self.known: dict[int, str] = {}  # the listed servers, by the hash that stands for them
-        self.words, self.belief = Words(), Belief(me)
+        self.words, self.belief = Words(), Belief(me) if options.bounded else None
         named = 0 <= me < routers
         self.counts = Counts(me, routers, customers, life, now) if named and options.counts else None
         self.alive = Alive(me, routers, life, now, seed) if named and options.members else None
@@ -69,11 +69,13 @@
     def listed(self, names: list[str]) -> None:
         """The list of servers has changed."""
         self.known = hashes(names)
-        self.belief.listed(names)
+        if self.belief is not None:
+            self.belief.listed(names)
 
     def tell(self, now: int, seen: list[Seen]) -> bytes:
         """What is worth telling of what was seen in a period; begins the next one."""
-        self.belief.saw(now, seen)
+        if self.belief is not None:
+            self.belief.saw(now, seen)
         news = self.words.worth(seen)
         return encode(news) if news else b""
 
@@ -111,7 +113,7 @@
             if kind == ANSWERS:
                 seen = decode(data, self.known)
                 self.words.heard(seen)
-                return Heard(self.belief.vetted(now, sender, seen))
+                return Heard(seen if self.belief is None else self.belief.vetted(now, sender, seen))
             if kind == COUNT and self.counts is not None:
                 self.counts.heard(now, sender, data[1:])
                 return Heard()
@@ -125,7 +127,9 @@
 
     def state(self, now: int) -> Json:
         """What this router believes, for `rainhitch fleet status`: one JSON object."""
-        told: Json = {"me": self.me, "routers": self.routers, "bounded": self.belief.bounded}
+        told: Json = {"me": self.me, "routers": self.routers}
+        if self.belief is not None:
+            told["bounded"] = self.belief.bounded
         if self.counts is not None:
             told["heard"] = len(self.counts.heard_of(now))
             told["parts"] = [round(one, 4) for one in self.counts.parts(now)]
--- a/rainhitch/operator.py
+++ b/rainhitch/operator.py
@@ -85,6 +85,9 @@
     counts: bool = tables.flag(
         FleetOptions.counts, "customers' use is told to the other routers and added up"
     )
+    bounded: bool = tables.flag(
+        FleetOptions.bounded, "one router's word on a cache server is bounded by a second one's"
+    )
     members: bool = tables.flag(FleetOptions.members, "routers find out which of them are there")
     database_rps: float = tables.number(
         FleetOptions.database_rps, 0, 1e6, "reads a second that all together send the database; 0: no limit"
--- a/tests/fleet/test_counts.py
+++ b/tests/fleet/test_counts.py
@@ -165,7 +165,7 @@
 def test_words_heard_a_second_do_not_grow_with_the_fleet() -> None:
     """Three hundred routers: what one sends, and so what it hears, is bounded."""
     for routers in (3, 60, 300):
-        exchange = Exchange(0, routers, 5, 1, 0, 7, Options())
+        exchange = Exchange(0, routers, 5, 1, 0, 7, Options(counts=True))
         sent = 0
         for step in range(1, 1201):
             sent += sum(to == EVERYONE for to, _ in exchange.step(step * SECOND // 10))
--- a/tests/fleet/test_processes.py
+++ b/tests/fleet/test_processes.py
@@ -148,7 +148,7 @@
         "total": stage(4, [], HELD, 9.0, mostly),
         "total, faults": stage(4, FAULTS, HELD, 11.0, mostly),
         "no total": stage(4, [], "", 5.0, mostly),
-        "counted": stage(3, WORDS, "", 10.0, small_at_one, keys=60),
+        "counted": stage(3, WORDS, "[routers]\ncounts = true\n", 10.0, small_at_one, keys=60),
         "not counted": stage(3, WORDS, "[routers]\ncounts = false\n", 10.0, small_at_one, keys=60),
         "stopped": stage(3, PAUSE, "", 8.0, rate=150.0),
         "gone": stage(5, GONE, "[routers]\nmembers = true\n", 20.0, rate=20.0),
