--- a/tests/node/test_crossings.py
+++ b/tests/node/test_crossings.py
@@ -195,16 +195,23 @@
 # A client leaves while it is not read
 
 
+async def with_many_in_work(bench: Bench, monkeypatch: pytest.MonkeyPatch) -> socket.socket:
+    """A client with as many commands in work as it may have, unanswered, and eight more behind them."""
+    send_all(bench, monkeypatch)
+    bench.cache.answer = lambda asked, line: None
+    raw = socket.create_connection(("127.0.0.1", bench.port))
+    raw.settimeout(PATIENCE)
+    raw.sendall(b"".join(get(b"n%d" % n) for n in range(MOST_PIPELINED + 8)))
+    await soon(lambda: len(bench.cache.got) == MOST_PIPELINED)
+    return raw
+
+
 async def test_who_leaves_with_many_commands_in_work_is_sent_for_no_more(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Reading is paused at so many; the end lies behind what is not read, and the loop does not tell."""
     async with router() as bench:
-        send_all(bench, monkeypatch)
-        bench.cache.answer = lambda asked, line: None
-        raw = socket.create_connection(("127.0.0.1", bench.port))
-        raw.sendall(b"".join(get(b"n%d" % n) for n in range(MOST_PIPELINED + 8)))
-        await soon(lambda: len(bench.cache.got) == MOST_PIPELINED)
+        raw = await with_many_in_work(bench, monkeypatch)
         raw.close()
         bench.cache.answer = lambda asked, line: hit()
         bench.cache.lines[0].write(hit())  # makes room for the next of its commands
@@ -250,12 +257,7 @@
 ) -> None:
     """They lay behind those in work: to the client they did not cross the end."""
     async with router() as bench:
-        send_all(bench, monkeypatch)
-        bench.cache.answer = lambda asked, line: None
-        raw = socket.create_connection(("127.0.0.1", bench.port))
-        raw.settimeout(PATIENCE)
-        raw.sendall(b"".join(get(b"n%d" % n) for n in range(MOST_PIPELINED + 8)))
-        await soon(lambda: len(bench.cache.got) == MOST_PIPELINED)
+        raw = await with_many_in_work(bench, monkeypatch)
         [client] = bench.clients.open
         client.finish()
         for line in list(bench.cache.lines):
