Requests that are still being written end with their client or window; a backlog is emptied

Seen on a second reading of the crossings, each forced over loopback by a test that fails without its mend (tests/node/test_crossings.py):

- A request of 60 kB to a server that reads nothing: its client leaves, and the attempt ran on until its time-out (Connection.let_go asked whether the first byte was written; it begins at its server with its last).
The same at the end of a repeat's window.
- A connection that answered before the last byte was written was used again (Connection.finish), with the rest of the first request before the next.
- A read callback that keeps the loop past the time at which the listener closes: the timer runs before the newcomer is accepted, and resets it (ConnectionResetError in the test).
A pause against storms did the same.
Listener.drain empties the backlog first.
Asked at use now.

--- a/rainhitch/node/driver.py
+++ b/rainhitch/node/driver.py
@@ -128,11 +128,15 @@
             self._close(held)
             self.counts.add("ended", "gone")
             self._tell(api.Withdrawn(held.id))
-            attempt = held.attempt
-            if attempt is not None and attempt.connection is not None and attempt.connection.let_go():
-                self._ended(attempt, Ending(api.Status.MOOT))
+            if held.attempt is not None:
+                self._take_back(held.attempt)
             self._forget(held)
 
+    def _take_back(self, attempt: Attempt) -> None:
+        """Ends an attempt that is not written whole: it begins at its server with its last byte."""
+        if attempt.held.attempt is attempt and attempt.connection is not None and attempt.connection.let_go():
+            self._ended(attempt, Ending(api.Status.MOOT))
+
     def _may_begin(self, attempt: Attempt, by: int) -> bool:
         """Guards rule 2 against a repeat that comes too late, and servers against work for clients that left
         while it waited, for its turn or for a connection."""
@@ -281,6 +285,9 @@
         if held.tries:
             self.counts.add("again", held.tries[-1][1].value)
         attempt.timer = self.loop.call_later(wait / SECOND, self._timeout, attempt)
+        if 0 < action.within < wait:
+            # Guards rule 2 against a repeat that is begun in its window, and whole when that is over.
+            self.loop.call_later(action.within / SECOND, self._take_back, attempt)
         by = now + (action.within or wait)
         exchange = Exchange(
             held.call,
--- a/rainhitch/node/listener.py
+++ b/rainhitch/node/listener.py
@@ -48,6 +48,19 @@
         self.resuming = None
         await self._accept()
 
+    async def drain(self) -> None:
+        """Takes in who waits in the backlog. Guards newcomers against a late loop, whose timers run before
+        its sockets are read, and against a pause: to whom the system has connected, a close is a reset."""
+        if self.resuming is not None:
+            self.resuming.cancel()
+            self.resuming = None
+            if self.server is None:
+                await self._accept()
+        for _ in range(BACKLOG):
+            if not self.door.waits():
+                break
+            await asyncio.sleep(0)
+
     def close(self) -> None:
         """Accepts nobody any more; who waits is reset by the system, unless others hold the socket."""
         if self.resuming is not None:
--- a/rainhitch/node/pool.py
+++ b/rainhitch/node/pool.py
@@ -47,7 +47,7 @@
         """Takes in what came while an attempt is out; ends it by finish or spoil."""
 
     def ask(self, exchange: Exchange) -> None:
-        self.exchange, self.begun = exchange, False
+        self.exchange, self.begun, self.unsent = exchange, False, True
         if self.transport is not None:
             self._write()
 
@@ -82,10 +82,13 @@
         return not unsent
 
     def let_go(self) -> bool:
-        """Takes the attempt back if nothing of it was written; the connection comes up for the next one."""
-        if self.exchange is None or self.begun:
+        """Takes the attempt back if it is not written whole, so that it never began there. Where nothing of
+        it was, the connection is the next one's."""
+        if self.exchange is None or not self.unsent:
             return False
         self.exchange = None
+        if self.begun:
+            self.close()
         return True
 
     def retire(self) -> None:
@@ -132,7 +135,8 @@
             relay, self.relay = self.relay, None
             relay.finish()
         exchange, self.exchange = self.exchange, None
-        if reusable:
+        # Guards the next request against the rest of one that was answered before its last byte was written.
+        if reusable and not (self.begun and self.unsent):
             self.pool.release(self)
         else:
             self.close()
@@ -235,10 +239,11 @@
     def _settled(self) -> Connection | None:
         """The newest idle connection that is fit for use. Guards against a second copy of an answer behind
         the first, which would pass for the next one's: a connection rests for a moment, then nothing may be
-        there to be read. Nor may its end be known, since nothing would be sent on it."""
-        before = asyncio.get_running_loop().time() - SETTLE
-        for connection in [one for one in reversed(self.idle) if one.idle_since <= before]:
-            fit = connection.fit()
+        there to be read. Nor may its end be known, since nothing would be sent on it, nor be due: the server
+        closes what idles, and the sweep comes late for a short keepalive."""
+        now = asyncio.get_running_loop().time()
+        for connection in [one for one in reversed(self.idle) if one.idle_since <= now - SETTLE]:
+            fit = connection.idle_since > now - self.pools.idle_most and connection.fit()
             if fit:
                 self.idle.remove(connection)
                 return connection
--- a/rainhitch/node/service.py
+++ b/rainhitch/node/service.py
@@ -194,6 +194,8 @@
             self.house.stop()
         if self.told.inherited is None:
             await asyncio.sleep(times.accepting)
+            if self.clients.listener is not None:
+                await self.clients.listener.drain()
         self.clients.close()
         await self.clients.emptied(begun + times.gone - loop.time())
         if self.house is not None:
--- a/rainhitch/rehearsal/virtual/network.py
+++ b/rainhitch/rehearsal/virtual/network.py
@@ -375,6 +375,9 @@
         self.server.plan()
         return self.server
 
+    def waits(self) -> bool:
+        return bool(self.queue)
+
     def close(self) -> None:
         self.network.doors.pop(self.address, None)
         self.forsake()
--- a/rainhitch/system.py
+++ b/rainhitch/system.py
@@ -27,6 +27,9 @@
     async def accept(self, make: Make, in_a_turn: int, backlog: int) -> asyncio.AbstractServer:
         """Accepts until the server is closed; who comes after that waits in the backlog."""
 
+    def waits(self) -> bool:
+        """Whether somebody waits in the backlog."""
+
     def close(self) -> None:
         """Listens no more."""
 
@@ -65,6 +68,12 @@
         """Bounds what the machine holds for a connection that is not read."""
 
 
+def polled(which: socket.socket, event: int) -> bool:
+    poller = select.poll()
+    poller.register(which.fileno(), event)
+    return bool(poller.poll(0))
+
+
 class SocketDoor:
     """A listening socket of this machine."""
 
@@ -84,6 +93,9 @@
         self.socket.listen(backlog)  # the backlog given above bounds a turn; the system's own is set anew
         return server
 
+    def waits(self) -> bool:
+        return polled(self.socket, select.POLLIN)
+
     def close(self) -> None:
         self.socket.close()
 
@@ -99,15 +111,10 @@
         return SocketDoor(host, port, inherited)
 
     def readable(self, transport: asyncio.Transport) -> bool:
-        return self._polled(transport, select.POLLIN)
+        return polled(transport.get_extra_info("socket"), select.POLLIN)
 
     def hung_up(self, transport: asyncio.Transport) -> bool:
-        return self._polled(transport, select.POLLRDHUP)
-
-    def _polled(self, transport: asyncio.Transport, event: int) -> bool:
-        poller = select.poll()
-        poller.register(transport.get_extra_info("socket").fileno(), event)
-        return bool(poller.poll(0))
+        return polled(transport.get_extra_info("socket"), select.POLLRDHUP)
 
     def shut(self, transport: asyncio.Transport) -> None:
         with (
--- a/tests/node/test_crossings.py
+++ b/tests/node/test_crossings.py
@@ -9,6 +9,7 @@
 import signal
 import socket
 import sys
+import time
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from pathlib import Path
@@ -232,6 +233,102 @@
         assert not bench.driver.held and not bench.cache.got
 
 
+# A request is still being written
+
+
+class Deaf:
+    """A server that takes connections and reads nothing, so that a large request stays on its way."""
+
+    def __init__(self, bench: Bench, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.bench, self.listener = bench, socket.socket()
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        self.listener.bind(("127.0.0.1", 0))
+        self.listener.listen()
+        self.address = "{}:{}".format(*self.listener.getsockname())
+        bound = bench.pools.system.bound_reads
+
+        def little(transport: asyncio.Transport, size: int) -> None:
+            bound(transport, size)
+            transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+
+        monkeypatch.setattr(bench.pools.system, "bound_reads", little)
+        bench.directory.take(listing(6, entry("c0", self.address)))
+
+    def writing(self) -> list[pool.Connection]:
+        """The connections on which a request is written in part."""
+        return [one for one in self.bench.pools.pools["c0"].all if one.begun and one.unsent]
+
+    def got(self) -> int:
+        """How many bytes came on the one connection, which has ended by now."""
+        line, _ = self.listener.accept()
+        with line:
+            line.settimeout(PATIENCE)
+            return sum(len(piece) for piece in iter(lambda: line.recv(65_536), b""))
+
+
+LARGE = b"x" * 60_000
+
+
+async def test_a_request_whose_client_leaves_while_it_is_written_is_not_finished(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """It begins at its server with its last byte, which may come seconds after the client has gone."""
+    async with router() as bench:
+        send_all(bench, monkeypatch)
+        deaf = Deaf(bench, monkeypatch)
+        caller = await bench.caller()
+        caller.send(b"C.SET", b"k", b"i1", b"c=put,t=acme,d=9000,k=o1", LARGE)
+        await soon(deaf.writing)
+        caller.writer.transport.abort()
+        await soon(lambda: not bench.clients.open)
+        assert not bench.driver.held and not bench.pools.open()  # at once
+        assert await asyncio.to_thread(deaf.got) < len(LARGE)
+        deaf.listener.close()
+
+
+async def test_a_repeat_that_is_still_being_written_as_its_window_ends_is_not_finished(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async with router() as bench:
+        told: list[api.Event] = []
+
+        def decide(at: int, event: api.Event) -> list[api.Action]:
+            told.append(event)
+            if isinstance(event, api.Request):
+                return [api.Send(event.id, "c0", 0, within=200_000_000)]
+            return [api.Fail(event.id)] if isinstance(event, api.Outcome) else []
+
+        monkeypatch.setattr(bench.driver.balancer, "handle", decide)
+        monkeypatch.setattr(bench.driver, "_timeout", lambda attempt: None)  # the window alone ends it
+        deaf = Deaf(bench, monkeypatch)
+        caller = await bench.caller()
+        caller.send(b"C.SET", b"k", b"i1", b"c=put,t=acme,d=9000,k=o1", LARGE)
+        await soon(deaf.writing)
+        assert str(await caller.answer()) == "ERR failed"
+        outcome = next(event for event in told if isinstance(event, api.Outcome))
+        assert outcome.status is api.Status.MOOT  # it never ran
+        assert await asyncio.to_thread(deaf.got) < len(LARGE)
+        deaf.listener.close()
+
+
+async def test_a_connection_that_answers_before_the_last_byte_is_written_is_not_used_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """What is left of the first request would be taken for the next one's beginning by whom it reaches."""
+    async with router() as bench:
+        send_all(bench, monkeypatch)
+        deaf = Deaf(bench, monkeypatch)
+        caller = await bench.caller()
+        caller.send(b"C.SET", b"k", b"i1", b"c=put,t=acme,d=9000,k=o1", LARGE)
+        await soon(deaf.writing)
+        line, _ = deaf.listener.accept()
+        line.sendall(hit())
+        assert await caller.answer() == b"v"
+        assert not bench.pools.open()
+        line.close()
+        deaf.listener.close()
+
+
 # A connection is closed as something comes on it
 
 
@@ -252,6 +349,19 @@
         assert [asked[2] for asked in bench.cache.got] == [b"first"]
 
 
+async def test_a_connection_that_its_server_is_about_to_close_carries_nothing() -> None:
+    """Where a keepalive is short, what has idled through it is not swept yet."""
+    async with router() as bench:
+        caller = await bench.caller()
+        for name in (b"one", b"two"):
+            caller.get(name=name)
+            assert await caller.answer() == b"v"
+            await soon(lambda: bench.pools.pools["c0"].idle)
+            bench.pools.hold_idle(0.01)
+            await asyncio.sleep(0.02)
+        assert len(bench.cache.lines) == 2
+
+
 async def test_commands_read_and_not_taken_up_are_refused_when_the_connection_ends(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
@@ -396,3 +506,33 @@
     assert times == schedule(0.4) and times.gone < times.kill == pytest.approx(1.1)
     assert 0 < service.driver.stop_at - service.driver.now() <= times.answered * 1e9
     await ending
+
+
+async def test_a_newcomer_that_a_late_loop_finds_as_it_stops_listening_is_heard(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Timers run before sockets are read: who came while the loop was late would be reset in the backlog."""
+    service = Service(configured({**CONFIG, "settings": info()}, "x"))
+    await service.start()
+    assert service.clients.listener is not None
+    address = service.clients.listener.door.address
+    came: list[socket.socket] = []
+
+    def late(one: Any, data: bytes) -> None:
+        came.append(socket.create_connection(address))
+        came[0].sendall(command(b"PING"))
+        time.sleep(service.clients.schedule.accepting)  # what it read keeps the loop this long
+
+    monkeypatch.setattr(client_module.Client, "data_received", late)
+    first = socket.create_connection(address)
+    await soon(lambda: service.clients.open)
+    ending = asyncio.ensure_future(service.stop())
+    await asyncio.sleep(0)
+    first.sendall(command(b"PING"))
+    await soon(lambda: came)
+    monkeypatch.undo()
+    came[0].settimeout(PATIENCE)
+    assert await asyncio.to_thread(came[0].recv, 64)
+    for one in (first, *came):
+        one.close()
+    await ending
