--- a/rainhitch/node/caches.py
+++ b/rainhitch/node/caches.py
@@ -46,9 +46,7 @@
 
     def encode(self, exchange: Exchange) -> bytes:
         call = exchange.call
-        # Guards against a dial's time told as time to work in: what is left counts from here.
-        left = max(1, (exchange.until - self.pool.pools.system.now()) // 1_000_000)
-        parts = [call.name, call.key, call.id, call.info_for(left)]
+        parts = [call.name, call.key, call.id, self.info(exchange)]
         return resp.command(*parts, *([] if call.value is None else [call.value]))
 
     def read(self, data: bytes) -> None:
--- a/rainhitch/node/call.py
+++ b/rainhitch/node/call.py
@@ -42,8 +42,8 @@
         return len(self.key) + len(self.id) + len(self.info) + len(self.value or b"")
 
     def info_for(self, wait: int) -> bytes:
-        """The list with the milliseconds that the router will wait, in place of the client's."""
-        told = b"d=%d" % wait
+        """The list with so many nanoseconds that the router will wait, in place of the client's wait."""
+        told = b"d=%d" % max(1, wait // 1_000_000)
         return b",".join(told if one.startswith(b"d=") else one for one in self.info.split(b","))
 
 
--- a/rainhitch/node/origin.py
+++ b/rainhitch/node/origin.py
@@ -28,7 +28,7 @@
 
     def encode(self, exchange: Exchange) -> bytes:
         call = exchange.call
-        headers = [(b"X-Call-Id", call.id), (b"X-Call-Info", call.info)]
+        headers = [(b"X-Call-Id", call.id), (b"X-Call-Info", self.info(exchange))]
         target = f"/{quote_from_bytes(call.key, safe='')}".encode()
         return self.http.request(b"GET" if call.value is None else b"PUT", target, headers, call.value)
 
--- a/rainhitch/node/pool.py
+++ b/rainhitch/node/pool.py
@@ -38,6 +38,11 @@
         self.idle_since = 0.0
         self.relay: Relay | None = None  # where a long value is passed on
 
+    def info(self, exchange: Exchange) -> bytes:
+        """What goes beside key and id. Guards against time that is over, with a dial or an earlier attempt,
+        told as time to work in: what is left counts from here."""
+        return exchange.call.info_for(exchange.until - self.pool.pools.system.now())
+
     @abstractmethod
     def encode(self, exchange: Exchange) -> bytes:
         """The bytes to write for an attempt."""
