--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -23,7 +23,7 @@
 import orjson
 
 from benchmarks.refusals import command, cpu
-from rainhitch.rehearsal.routers import free_port, resident, settings
+from rainhitch.rehearsal.routers import hold_port, resident, settings
 from rainhitch.rehearsal.scenario import read_scenario, shipped
 from rainhitch.rehearsal.world.discovery import Agent
 from rainhitch.rehearsal.world.etcd import Etcd
@@ -38,7 +38,8 @@
     """A router, its nodes, and clients that ask without end."""
 
     def __init__(self, folder: Path, etcd: Etcd | None) -> None:
-        self.folder, self.etcd, self.port = folder, etcd, free_port()
+        self.folder, self.etcd, self.held = folder, etcd, hold_port()
+        self.port = self.held.getsockname()[1]
         self.day = read_scenario(shipped()["quiet"])
         self.day.fleet.warm_s, self.day.traffic.quota_rps = 0.1, 1e9
         spec = Spec(cores=64, slots=10_000, table=10_000, memory=10_000, warm_s=0.1, cold_from=1.0)
--- a/benchmarks/refusals.py
+++ b/benchmarks/refusals.py
@@ -18,7 +18,7 @@
 
 import orjson
 
-from rainhitch.rehearsal.routers import free_port, resident, settings
+from rainhitch.rehearsal.routers import hold_port, resident, settings
 from rainhitch.rehearsal.scenario import read_scenario, shipped
 from rainhitch.rehearsal.world.discovery import Agent
 from rainhitch.rehearsal.world.node import Node, Spec
@@ -82,7 +82,8 @@
         "capacity_hint": 1.0,
         "boot_ms": 0,
     }
-    agent, port = Agent(0, [entry]), free_port()
+    agent, held = Agent(0, [entry]), hold_port()
+    port = held.getsockname()[1]
     config = {
         "name": "r0",
         "listen": f"127.0.0.1:{port}",
--- a/rainhitch/rehearsal/routers.py
+++ b/rainhitch/rehearsal/routers.py
@@ -110,10 +110,14 @@
     LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
 
 
-def free_port() -> int:
-    with socket.socket() as one:
-        one.bind(("127.0.0.1", 0))
-        return int(one.getsockname()[1])
+def hold_port() -> socket.socket:
+    """A socket that holds a free port of the loopback address for whoever binds it by its number. Guards a
+    process that is still to start: as long as this is open, the system gives that port to nobody else."""
+    held = socket.socket()
+    held.bind(("127.0.0.1", 0))
+    # Set only now: two that had it set before could have been given the same port.
+    held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    return held
 
 
 @dataclass(eq=False)
--- a/rainhitch/rehearsal/stage.py
+++ b/rainhitch/rehearsal/stage.py
@@ -20,7 +20,7 @@
 
 from rainhitch import system
 from rainhitch.rehearsal.plan import Plan
-from rainhitch.rehearsal.routers import Router, StageError, free_port, settings
+from rainhitch.rehearsal.routers import Router, StageError, hold_port, settings
 from rainhitch.rehearsal.scenario import Scenario
 
 Json = dict[str, Any]
@@ -122,6 +122,7 @@
         self.parts: list[PartProcess] = []
         self.routers: list[Router] = []
         self.acting: set[asyncio.Task[None]] = set()
+        self.held: list[socket.socket] = []
         self.zero = 0
 
     # what a stage on another machine than this one has of its own
@@ -137,8 +138,9 @@
         return made
 
     def port(self) -> int:
-        """A port that nobody listens on."""
-        return free_port()
+        """A port that nobody listens on, kept for this day."""
+        self.held.append(hold_port())
+        return int(self.held[-1].getsockname()[1])
 
     async def play(self) -> Json:
         """Plays the day; gives all its ledgers."""
@@ -154,6 +156,8 @@
             for router in self.routers:
                 if router.process is not None:
                     await router.process.wait()
+            for held in self.held:
+                held.close()
             shutil.rmtree(self.folder, ignore_errors=True)
 
     async def _play(self) -> Json:
--- a/tests/rehearsal/test_world.py
+++ b/tests/rehearsal/test_world.py
@@ -12,6 +12,7 @@
 import pytest
 from peers import PATIENCE, soon
 
+from rainhitch.rehearsal.routers import hold_port
 from rainhitch.rehearsal.world.database import Database, DatabaseSpec
 from rainhitch.rehearsal.world.datagrams import Datagrams
 from rainhitch.rehearsal.world.discovery import Agent
@@ -475,3 +476,17 @@
         ends[0].socket.sendto(b"late", to)
         await soon(lambda: ends[1].heard)
         assert time.monotonic() - begun >= 0.29 and len(ends[1].heard) == 1
+
+
+def test_a_held_port_is_given_to_nobody_and_can_be_listened_on_again_and_again() -> None:
+    """A router that starts seconds later found its port taken by a connection of another day."""
+    held = [hold_port() for _ in range(200)]
+    assert len({one.getsockname() for one in held}) == len(held)
+    address = held[0].getsockname()
+    for _ in range(2):
+        with socket.create_server(address), socket.create_connection(address):
+            pass
+    with socket.socket() as plain, pytest.raises(OSError, match="in use"):
+        plain.bind(address)
+    for one in held:
+        one.close()
