A second SIGTERM as the program ends leaves its exit code 0

Once the loop is closed its handler is gone, and the default action kills the process (program.serve). Blocked from the end of the service on. A process told to end every 2 ms ends with 0; with -15 without the change.

--- a/rainhitch/node/program.py
+++ b/rainhitch/node/program.py
@@ -32,6 +32,8 @@
     await service.start()
     await stopping.wait()
     await service.stop()
+    # Guards the exit code against a second SIGTERM, which finds no handler once the loop is closed.
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGTERM})
 
 
 def main() -> int:
--- a/tests/node/test_shutdown.py
+++ b/tests/node/test_shutdown.py
@@ -1,7 +1,15 @@
-"""The schedule after SIGTERM, for any deadline."""
+"""The schedule after SIGTERM, for any deadline, and the end of the process."""
+
+import asyncio
+import contextlib
+import signal
+import sys
+from pathlib import Path
 
 from hypothesis import given
 from hypothesis import strategies as st
+from peers import PATIENCE
+from program import ROOT, configuration, started
 
 from rainhitch.node.shutdown import NEWCOMERS, schedule
 
@@ -20,3 +28,25 @@
     assert long.answered > 3.0  # it was 2.2 s for all: requests were cut a second before they had to be
     assert short.gone < 1.2  # where SIGKILL comes at 1.2 s
     assert short.no_more < 0.8
+
+
+async def test_processes_told_to_end_again_and_again_end_with_0(tmp_path: Path) -> None:
+    """Also between the end of the loop and that of the process: it ended with -15 after a second SIGTERM."""
+    running = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "rainhitch",
+        env=configuration(tmp_path),
+        cwd=ROOT,
+        stderr=asyncio.subprocess.PIPE,
+    )
+    await started(running)
+    assert running.stderr is not None
+    reading = asyncio.create_task(running.stderr.read())
+    async with asyncio.timeout(PATIENCE):
+        while running.returncode is None:
+            with contextlib.suppress(ProcessLookupError):
+                running.send_signal(signal.SIGTERM)
+            await asyncio.sleep(0.002)
+    assert running.returncode == 0, await reading
+    await reading
