--- a/tests/fleet/test_processes.py
+++ b/tests/fleet/test_processes.py
@@ -126,6 +126,12 @@
     {"kind": "messages-late", "at_s": 2.0, "for_s": 8.0, "delay_s": 0.5},
 ]
 PAUSE: list[Json] = [{"kind": "router-pause", "at_s": 2.0, "for_s": 4.0, "router": 0}]
+LEFT: list[Json] = [
+    {"kind": "node-silent", "at_s": 1.0, "for_s": 5.0, "node": "neihu-0"},
+    {"kind": "link-delay", "at_s": 1.0, "for_s": 5.0, "router": 1, "node": "neihu-1", "delay_s": 0.2},
+    {"kind": "database-slow", "at_s": 2.0, "for_s": 3.0, "factor": 20.0},
+    {"kind": "router-restart", "at_s": 3.0, "router": 2},
+]
 GONE: list[Json] = [
     {"kind": "router-kill", "at_s": 1.0, "for_s": 100.0, "router": 4},
     {"kind": "router-pause", "at_s": 1.0, "for_s": 12.0, "router": 3},
@@ -147,6 +153,14 @@
         ask.fresh = True
 
 
+def soon_gone(asks: list[Ask]) -> None:
+    """Half of the clients leave after 30 to 230 ms."""
+    for number, ask in enumerate(asks[::2]):
+        for one in ask.tries:
+            one.leaves_us = 30_000 + number * 7919 % 200_000
+    often_anew(asks)
+
+
 def days() -> dict[str, Watched]:
     """All days of this file."""
     mostly = to_one(0, 0.9)
@@ -157,6 +171,7 @@
         "counted": stage(3, WORDS, "[routers]\ncounts = true\n", 10.0, small_at_one, keys=60),
         "not counted": stage(3, WORDS, "[routers]\ncounts = false\n", 10.0, small_at_one, keys=60),
         "stopped": stage(3, PAUSE, "", 8.0, often_anew, rate=150.0),
+        "left": stage(3, LEFT, "", 8.0, soon_gone, rate=150.0),
         "gone": stage(5, GONE, "[routers]\nmembers = true\n", 20.0, rate=20.0),
     }
 
@@ -260,6 +275,19 @@
     assert any("away for" in line for line in ledgers["stopped"]["logs"][0].splitlines())
 
 
+def test_processes_send_nothing_for_clients_that_have_left(ledgers: dict[str, Json]) -> None:
+    """Half of the clients leave early, as a server is silent, a link slow, the database jammed and a router
+    told to end: no attempt, first or further, comes to any server for one that has been gone for so long that
+    a slow machine can't explain it. On an idle one none comes after its client has left."""
+    parts = ledgers["left"]["parts"]
+    clients = [one for name, rows in parts.items() if name[:7] == "clients" for one in rows["sent"]]
+    left = {one["id"]: one["left"] for one in clients if one["left"]}
+    nodes = [one for name, rows in parts.items() if name[:5] == "nodes" for one in rows["attempts"]]
+    begun = [one for one in nodes + parts["centre"]["fetches"] if one["id"] in left]
+    late = [one for one in begun if one["first"] > left[one["id"]] + SECOND // 2]
+    assert len(left) > 100 and len(begun) > 100 and not late
+
+
 def test_processes_find_out_who_is_gone_and_a_late_waker_talks_nobody_away(ledgers: dict[str, Json]) -> None:
     """Five processes: one is killed for good, one is stopped and comes back. All others find out; who was
     stopped doubts itself, not them; and it is held as there again soon after."""
