No pause against storms while the last newcomers are taken in

On reading the change again: Listener.drain lets the backlog empty, and each newcomer may ask for a pause (Damper.connected), in which nobody is accepted and the close resets who waits. No pause from then on; a test of a newcomer in a pause and of one asked for then, which fails without.

--- a/rainhitch/node/listener.py
+++ b/rainhitch/node/listener.py
@@ -24,6 +24,7 @@
         self.door = system.of(loop).door(host, port, inherited)
         self.server: asyncio.AbstractServer | None = None
         self.resuming: asyncio.Task[None] | None = None
+        self.draining = False
         self.pauses = 0
 
     async def open(self) -> tuple[str, int]:
@@ -35,8 +36,8 @@
         self.server = await self.door.accept(self.make, MOST_ACCEPTED, BACKLOG)
 
     def pause(self, seconds: float) -> None:
-        """Accepts nobody for so long; does nothing while a pause is on."""
-        if self.resuming is None and self.server is not None:
+        """Accepts nobody for so long; does nothing while a pause is on, nor for the last ones to come."""
+        if self.resuming is None and self.server is not None and not self.draining:
             self.pauses += 1
             self.resuming = self.loop.create_task(self._resume(seconds))
 
@@ -51,6 +52,7 @@
     async def drain(self) -> None:
         """Takes in who waits in the backlog. Guards newcomers against a late loop, whose timers run before
         its sockets are read, and against a pause: to whom the system has connected, a close is a reset."""
+        self.draining = True
         if self.resuming is not None:
             self.resuming.cancel()
             self.resuming = None
--- a/tests/node/test_crossings.py
+++ b/tests/node/test_crossings.py
@@ -581,3 +581,20 @@
     for one in (first, *came):
         one.close()
     await ending
+
+
+async def test_a_newcomer_that_comes_in_a_pause_is_heard_when_the_router_stops_listening() -> None:
+    service = Service(configured({**CONFIG, "settings": info()}, "x"))
+    await service.start()
+    listener = service.clients.listener
+    assert listener is not None
+    listener.pause(3600)
+    await asyncio.sleep(0)
+    ending = asyncio.ensure_future(service.stop())
+    with socket.create_connection(listener.door.address) as raw:
+        raw.settimeout(PATIENCE)
+        raw.sendall(command(b"PING"))
+        assert await asyncio.to_thread(raw.recv, 64)
+    listener.pause(3600)  # a storm at the end pauses nothing
+    assert listener.resuming is None
+    await ending
