--- a/tests/node/test_crossings.py
+++ b/tests/node/test_crossings.py
@@ -16,7 +16,7 @@
 from typing import Any
 
 import pytest
-from peers import PATIENCE, Bench, Cache, Peer, Web, entry, hit, http, info, router, soon
+from peers import PATIENCE, Bench, Cache, Caller, Peer, Web, entry, hit, http, info, router, soon
 from program import ROOT, configuration, listing, started
 
 from rainhitch import interface as api
@@ -236,6 +236,9 @@
 # A request is still being written
 
 
+LARGE = b"x" * 60_000
+
+
 class Deaf:
     """A server that takes connections and reads nothing, so that a large request stays on its way."""
 
@@ -258,6 +261,13 @@
         """The connections on which a request is written in part."""
         return [one for one in self.bench.pools.pools["c0"].all if one.begun and one.unsent]
 
+    async def half_written(self) -> Caller:
+        """A client whose request is written in part."""
+        caller = await self.bench.caller()
+        caller.send(b"C.SET", b"k", b"i1", b"c=put,t=acme,d=9000,k=o1", LARGE)
+        await soon(self.writing)
+        return caller
+
     def got(self) -> int:
         """How many bytes came on the one connection, which has ended by now."""
         line, _ = self.listener.accept()
@@ -266,9 +276,6 @@
             return sum(len(piece) for piece in iter(lambda: line.recv(65_536), b""))
 
 
-LARGE = b"x" * 60_000
-
-
 async def test_a_request_whose_client_leaves_while_it_is_written_is_not_finished(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
@@ -276,9 +283,7 @@
     async with router() as bench:
         send_all(bench, monkeypatch)
         deaf = Deaf(bench, monkeypatch)
-        caller = await bench.caller()
-        caller.send(b"C.SET", b"k", b"i1", b"c=put,t=acme,d=9000,k=o1", LARGE)
-        await soon(deaf.writing)
+        caller = await deaf.half_written()
         caller.writer.transport.abort()
         await soon(lambda: not bench.clients.open)
         assert not bench.driver.held and not bench.pools.open()  # at once
@@ -301,9 +306,7 @@
         monkeypatch.setattr(bench.driver.balancer, "handle", decide)
         monkeypatch.setattr(bench.driver, "_timeout", lambda attempt: None)  # the window alone ends it
         deaf = Deaf(bench, monkeypatch)
-        caller = await bench.caller()
-        caller.send(b"C.SET", b"k", b"i1", b"c=put,t=acme,d=9000,k=o1", LARGE)
-        await soon(deaf.writing)
+        caller = await deaf.half_written()
         assert str(await caller.answer()) == "ERR failed"
         outcome = next(event for event in told if isinstance(event, api.Outcome))
         assert outcome.status is api.Status.MOOT  # it never ran
@@ -318,9 +321,7 @@
     async with router() as bench:
         send_all(bench, monkeypatch)
         deaf = Deaf(bench, monkeypatch)
-        caller = await bench.caller()
-        caller.send(b"C.SET", b"k", b"i1", b"c=put,t=acme,d=9000,k=o1", LARGE)
-        await soon(deaf.writing)
+        caller = await deaf.half_written()
         line, _ = deaf.listener.accept()
         line.sendall(hit())
         assert await caller.answer() == b"v"
