--- a/rainhitch/interface.py
+++ b/rainhitch/interface.py
@@ -256,7 +256,7 @@
 
 @dataclass(slots=True)
 class Send:
-    """Start an attempt; timeout 0: until the client gives up. `within`: its first byte goes within so long,
+    """Start an attempt; timeout 0: until the client gives up. `within`: it is written whole within so long,
     or never, since a repeat later than that may do harm; 0: it is none."""
 
     id: str
