Records tell how late a router is: loop delays, unread ages, accept pauses, close reasons

The incident's evidence could not say for how long a request had lain unread, whether its connection was new, or why a connection ended. Now each second's record has lag, unread, accepts and closed; a request whose client gave up waiting is told by id (gone:unanswered), with its connection, the ms it may have lain unread, the ms left and each attempt's time. node/lag.py bounds the age of what is read by the loop's own delays: uvloop's loop.time() refreshes its cache with each call (uvloop/loop.pyx, _time), so that the poll's return can't be asked for. No decision and no deadline changes.

--- a/rainhitch/fleet/away.py
+++ b/rainhitch/fleet/away.py
@@ -10,7 +10,7 @@
 """
 
 SECOND = 1_000_000_000
-BEAT = SECOND // 10  # ns
+BEAT = SECOND // 10  # ns; the host's heartbeat
 LATE = SECOND // 2  # ns by which a beat is later than a busy core explains
 SETTLE = SECOND // 200  # ns in which the sockets are read
 
--- a/rainhitch/node/call.py
+++ b/rainhitch/node/call.py
@@ -36,6 +36,8 @@
     wait: int  # ms until the client gives up, from when it sent the command
     repeat: bool
     order: str = ""  # the order key of a keyed write
+    unread: int = 0  # ms for which it may have lain unread before it was taken
+    connection: int = 0  # the number of its client's connection
 
     @property
     def size(self) -> int:
--- a/rainhitch/node/client.py
+++ b/rainhitch/node/client.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, cast
 
 from rainhitch.node.call import CallError, read_call
+from rainhitch.node.closing import CloseReason
 from rainhitch.node.driver import Held
 from rainhitch.node.pool import PIECE
 from rainhitch.node.relay import Relay
@@ -20,6 +21,7 @@
 MOST_IN_A_TURN = 16  # commands of one connection taken up before others have their turn
 LINGER = 1.0  # s for which a client that has its last answer may go on sending,
 LINGER_BYTES = 256 << 10  # and how much of that is read
+MILLI = 1_000_000
 SMALL = 1024  # bytes of an answer that is kept whatever else is
 log = logging.getLogger("rainhitch")
 
@@ -80,7 +82,14 @@
         self.buffered = 0  # bytes as the server counts them
         self.waiting = 0  # of them, in answers whose turn has not come
         self.spilt = 0  # bytes read while lingering
+        self.unread_ms = 0  # ms for which what has come last may have lain unread, as it is told in records
         self.stuck: asyncio.TimerHandle | None = None
+        self.reason: CloseReason | None = None  # why it ends
+
+    def closes_for(self, reason: CloseReason) -> None:
+        """Notes why the connection ends; the first reason stands."""
+        if self.reason is None:
+            self.reason = reason
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
@@ -91,10 +100,11 @@
         """Says that there is no room and hears the client out. Guards that one answer: a close with the
         client's first command unread is a reset, which overtakes what was written before it."""
         assert self.transport is not None
+        self.closes_for(CloseReason.NO_ROOM)
         self.last = self.lingering = self.turned = True
         self.transport.write(self.server.no_room())
         self.transport.write_eof()
-        self.stuck = self.server.loop.call_later(LINGER, self.abort)
+        self.stuck = self.server.loop.call_later(LINGER, self.abort, CloseReason.NO_ROOM)
         self.server.turn_away(self)
 
     def _heard_out(self, data: bytes) -> None:
@@ -121,8 +131,12 @@
             self.transport.close()
 
     def data_received(self, data: bytes) -> None:
+        lag = self.server.driver.lag
+        lag.begins()
         back = self.server.driver.back()
-        self.waited = self._lay_unread() if self.mute or back or self.server.crowded() else 0
+        told = self._lay_unread()
+        self.waited = told if self.mute or back or self.server.crowded() else 0
+        self.unread_ms = max(told, lag.age() // MILLI)
         self.mute = False
         if self.turned:
             self._heard_out(data)
@@ -134,6 +148,7 @@
         elif not self.last:
             self.frames.feed(data)
             self.advance()
+        lag.ends()
 
     def _lay_unread(self) -> int:
         """For how many ms what has come had been lying in the system. Guards rule 1 against the time that a
@@ -143,6 +158,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.transport = None
+        self.closes_for(CloseReason.BY_CLIENT)
         self.server.gone(self)
         if self.stuck is not None:
             self.stuck.cancel()
@@ -155,7 +171,7 @@
 
     def pause_writing(self) -> None:
         self.blocked = True
-        self.stuck = self.server.loop.call_later(self.server.unread_s, self.abort)
+        self.stuck = self.server.loop.call_later(self.server.unread_s, self.abort, CloseReason.UNREAD_ANSWERS)
         self._steer()
 
     def resume_writing(self) -> None:
@@ -164,7 +180,8 @@
             self.stuck.cancel()
         self.advance()
 
-    def abort(self) -> None:
+    def abort(self, reason: CloseReason = CloseReason.LINGERED) -> None:
+        self.closes_for(reason)
         if self.transport is not None:
             self.transport.abort()
 
@@ -196,9 +213,9 @@
         finally:
             self.advancing = False
         if not self.slots and self.last:
-            self.half_close()
+            self.half_close(CloseReason.LAST_COMMAND)
         elif not self.slots and self.server.leaving and self._at_rest():
-            self.half_close()
+            self.half_close(CloseReason.SHUTDOWN)
         else:
             if turn == 0 and self.frames.buffer and not self.yielding:
                 # Guards the others against a client that sends hundreds of commands at once.
@@ -210,13 +227,14 @@
         self.yielding = False
         self.advance()
 
-    def half_close(self) -> None:
+    def half_close(self, reason: CloseReason) -> None:
         """Ends the sending and reads on for a while. Guards the last answer: a close with bytes unread is a
         reset, which can reach a client that is still sending before the answer does. What comes from now on
         crosses this end, and is never taken up: the client sends it again elsewhere."""
         assert self.transport is not None
         if self.lingering or self.transport.is_closing():
             return
+        self.closes_for(reason)
         self.last = self.lingering = True
         self._refuse_rest()
         self.server.place(self)
@@ -268,11 +286,12 @@
                 self._command(cast(list[bytes], parts))
         except resp.FramingError as problem:
             # Where the next command begins is lost: what came before is answered, then this one, last.
-            self.end(f"Protocol error: {problem}")
+            self.end(f"Protocol error: {problem}", CloseReason.PROTOCOL_ERROR)
         return taken
 
-    def end(self, problem: str) -> None:
+    def end(self, problem: str, reason: CloseReason) -> None:
         """Reads no more: what has been taken is answered, then the problem told, then all is closed."""
+        self.closes_for(reason)
         self.server.count("ended on an error")
         self.last = True
         self._put(resp.error(problem))
@@ -284,12 +303,13 @@
 
     def finish(self) -> None:
         """Reads no more; what has been taken is answered, then all is closed."""
+        self.closes_for(CloseReason.SHUTDOWN)
         self.last = True
         self.advance()
 
     def overdue(self) -> None:
         """Its command has been on its way for too long."""
-        self.end("no whole command in time")
+        self.end("no whole command in time", CloseReason.UNFINISHED)
         self.advance()
 
     def keep(self, slot: Slot, answer: bytes) -> bytes:
@@ -340,7 +360,7 @@
         if relay.broken:
             # Guards the client against half a value taken for the whole: it ends in the middle of it.
             self.transport.write(before)
-            self.transport.abort()
+            self.abort(CloseReason.VALUE_CUT_OFF)
             return False
         head = b"" if relay.begun else b"$%d\r\n" % relay.size
         relay.begun = True
@@ -372,6 +392,7 @@
             self._put(resp.error(str(problem)))
             return
         call.wait = max(1, call.wait - self.waited)
+        call.unread, call.connection = self.unread_ms, self.session.id
         slot = Slot(self)
         self.slots.append(slot)
         try:
@@ -400,7 +421,7 @@
         over = self.server.buffered > self.server.most_buffered
         if over and len(self.frames.buffer) > SMALL and not self.last:
             self.frames.buffer.clear()
-            self.end("out of memory")
+            self.end("out of memory", CloseReason.OUT_OF_MEMORY)
             self.advance()
 
     def _account(self) -> None:
--- a/rainhitch/node/clients.py
+++ b/rainhitch/node/clients.py
@@ -10,6 +10,7 @@
 from rainhitch import system
 from rainhitch.node.call import CallError, read_call
 from rainhitch.node.client import MOST_PIPELINED, Client
+from rainhitch.node.closing import CloseReason
 from rainhitch.node.driver import Driver
 from rainhitch.node.listener import Listener
 from rainhitch.node.session import OPEN
@@ -71,6 +72,8 @@
             wait = self.damper.connected(self.system.now(), len(self.open))
             if wait:
                 self.listener.pause(wait / 1e9)
+                self.driver.counts.add("accepts", "pauses")
+                self.driver.counts.add("accepts", "ms", wait // 1_000_000)
         if len(self.open) >= max(self.most, self.more()):
             if not self._make_room():
                 return False
@@ -145,7 +148,7 @@
 
     def _retire(self, client: Client) -> None:
         self.count("closed idle")
-        client.half_close()
+        client.half_close(CloseReason.IDLE)
 
     def heard(self, client: Client) -> None:
         """A whole command has come: what it waits for next counts from then."""
@@ -191,6 +194,8 @@
         self.told.clear()
 
     def gone(self, client: Client) -> None:
+        if client in self.open and client.reason is not None:
+            self.driver.counts.add("closed", client.reason.value)
         self.open.pop(client, None)
         self.turned.pop(client, None)
         for group in (self.awaited, self.idle, self.lingering):
--- a/rainhitch/node/driver.py
+++ b/rainhitch/node/driver.py
@@ -10,16 +10,19 @@
 from rainhitch import interface as api
 from rainhitch import system
 from rainhitch.admin.figures import Tally
-from rainhitch.fleet.away import BEAT, SETTLE, Away
+from rainhitch.fleet.away import SETTLE, Away
 from rainhitch.node.call import Call, Ending, Exchange
+from rainhitch.node.lag import HEARTBEAT, LoopLag
 from rainhitch.node.pool import Connection, Pool, Pools
 from rainhitch.node.relay import Relay, Source
 from rainhitch.policy.balancer import Balancer
 from rainhitch.protocol import resp
 from rainhitch.telemetry.counts import Counts
+from rainhitch.telemetry.records import Bad
 
 MILLI = 1_000_000
 SECOND = 1_000_000_000
+GAVE_UP = 150 * MILLI  # left of its wait when a client leaves, by which it seems to have given up waiting
 WAY_BACK = 8 * MILLI  # kept of a client's time so that the last answer reaches it before it leaves
 log = logging.getLogger("rainhitch")
 
@@ -52,6 +55,18 @@
         """Whether the client has left, also where that was not read yet."""
 
 
+@dataclass(frozen=True, slots=True)
+class Tried:
+    """An attempt that has ended."""
+
+    server: str
+    status: api.Status
+    took: int  # ns
+
+    def __str__(self) -> str:
+        return f"{self.server} {self.status.value} after {self.took // MILLI} ms"
+
+
 @dataclass(slots=True, eq=False)
 class Held:
     """A request and what is known of it; open until its one answer has been given."""
@@ -65,7 +80,8 @@
     attempt: Attempt | None = None
     guard: asyncio.TimerHandle | None = None
     relay: Relay | None = None  # its long answer, while that is passed on
-    tries: list[tuple[str, api.Status]] = field(default_factory=list)  # where, and how they ended
+    tries: list[Tried] = field(default_factory=list)
+    until: int = 0  # when its client stops waiting, ns
 
 
 class Driver:
@@ -80,12 +96,13 @@
         self.held_bytes = 0
         self.tally = Tally([str(n) for n in range(len(balancer.settings.classes))])
         self.counts = Counts()
+        self.lag = LoopLag(self.loop, self.now, lambda delay: self.counts.add_lag(delay))
         self.customers: dict[int, str] = defaultdict(str)  # their names, by number
         self.watch: Callable[[], None] = lambda: None
         self.tell_peers: Callable[[list[api.Seen]], None] = lambda seen: None
         self.took: Callable[[int], None] = lambda customer: None  # a request was taken
         self.away = Away(self.now())
-        self.loop.call_later(BEAT / SECOND, self._beat)
+        self.loop.call_later(HEARTBEAT / SECOND, self._beat)
         self.stop_at = 0  # when all must be answered, once the router is told to stop
         self._events: deque[api.Event] = deque()
         self._playing = False
@@ -109,10 +126,11 @@
         spec = self.balancer.settings.classes[call.cls]
         until = now + min(call.wait * MILLI, spec.deadline)  # a client waits for no longer than that
         until = min(until, self.stop_at or until)
-        held = self.held[name] = Held(name, call, place, until - WAY_BACK)
+        held = self.held[name] = Held(name, call, place, until - WAY_BACK, until=until)
         self.held_bytes += call.size
         self.tally.active += 1
         self.counts.taken += 1
+        self.counts.add_unread(call.unread)
         self.took(call.tenant)
         held.guard = self.loop.call_at((until - WAY_BACK // 2) / SECOND, self._overdue, held)
         key = call.key.decode("latin-1")
@@ -126,7 +144,11 @@
         """The client has left. An attempt that has begun runs on: the connection stays of use."""
         if held.open:
             self._close(held)
-            self.counts.add("ended", "gone")
+            gave_up = held.until - self.now() < GAVE_UP
+            how = "gone:unanswered" if gave_up else "gone"
+            self.counts.add("ended", how)
+            if gave_up:
+                self._note_bad(held, how)
             self._tell(api.Withdrawn(held.id))
             if held.attempt is not None:
                 self._take_back(held.attempt)
@@ -199,8 +221,9 @@
             self._playing = False
 
     def _beat(self) -> None:
+        self.lag.heartbeat()
         self._notice(self.now())
-        self.loop.call_later(BEAT / SECOND, self._beat)
+        self.loop.call_later(HEARTBEAT / SECOND, self._beat)
 
     def back(self) -> bool:
         """Whether this router has just come back from an absence. Asked of what is read: where it was stopped
@@ -290,7 +313,7 @@
         held.attempt = attempt
         self.counts.add("sent", action.server)
         if held.tries:
-            self.counts.add("again", held.tries[-1][1].value)
+            self.counts.add("again", held.tries[-1].status.value)
         attempt.timer = self.loop.call_later(wait / SECOND, self._timeout, attempt)
         if 0 < action.within < wait:
             # Guards rule 2 against a repeat that is begun in its window, and whole when that is over.
@@ -353,7 +376,7 @@
         # Guards servers against this router's own absence taken for theirs: it is looked for first.
         self._notice(self.now())
         held, elapsed = attempt.held, self.away.took(self.now(), attempt.sent)
-        held.tries.append((attempt.server, ending.status))
+        held.tries.append(Tried(attempt.server, ending.status, elapsed))
         origin = self.balancer.fleet.origin
         at_origin = origin is not None and origin.member.server == attempt.server
         how = f"origin {ending.status.value}" if at_origin else ending.status.value
@@ -374,10 +397,18 @@
         over = "+" if how.endswith("+") or (job is not None and job.marked) else ""
         self.counts.add("customers", f"{self.customers[held.call.tenant]}{over} {how.partition(':')[0]}")
         if held.tries and how != "served":
-            tries = [f"{server} {status.value}" for server, status in held.tries]
-            self.counts.bad(self.unix() / SECOND, held.id, how, tries)
+            self._note_bad(held, how)
         held.place.fill(answer)
 
+    def _note_bad(self, held: Held, how: str) -> None:
+        now, call = self.now(), held.call
+        tries = [str(one) for one in held.tries]
+        if held.attempt is not None:
+            tries.append(f"{held.attempt.server} out for {(now - held.attempt.sent) // MILLI} ms")
+        left = (held.until - now) // MILLI
+        told = Bad(self.unix() / SECOND, held.id, how, tries, call.connection, call.unread, left)
+        self.counts.add_bad(told)
+
     def _close(self, held: Held) -> None:
         held.open = False
         self.tally.active -= 1
--- a/rainhitch/telemetry/counts.py
+++ b/rainhitch/telemetry/counts.py
@@ -5,6 +5,8 @@
 from rainhitch.telemetry.records import Bad, Second
 
 MOST_BAD = 8  # requests told of in a second; the others are in the sums
+UNREAD_LEAST, UNREAD_BOUNDS = 5, (20, 50, 100, 150)  # ms
+MILLI = 1_000_000
 
 
 class Counts:
@@ -23,10 +25,21 @@
             counter = self.since[field] = Counter()
         counter[name] += many
 
-    def bad(self, at: float, name: str, how: str, tries: list[str]) -> None:
+    def add_bad(self, bad: Bad) -> None:
         """Notes a request by its id; guards the log against a flood of them."""
         if len(self.told) < MOST_BAD:
-            self.told.append(Bad(at, name, how, tries))
+            self.told.append(bad)
+
+    def add_lag(self, delay: int) -> None:
+        """Counts a delay of the event loop, ns."""
+        self.add("lag", "times")
+        self.add("lag", "ms", delay // MILLI)
+
+    def add_unread(self, age_ms: int) -> None:
+        """Counts a request by how long its bytes may have lain unread."""
+        if age_ms >= UNREAD_LEAST:
+            bound = next((bound for bound in UNREAD_BOUNDS if age_ms < bound), None)
+            self.add("unread", "more" if bound is None else f"under {bound} ms")
 
     def cut(self, at: float, cpu: float) -> Second | None:
         """The record of what was counted since the last one; None where nothing was. `cpu`: s in all."""
--- a/rainhitch/telemetry/records.py
+++ b/rainhitch/telemetry/records.py
@@ -19,7 +19,8 @@
 
     at: float
     taken: int = 0  # requests
-    # How requests ended: served, gone (the client left), refused:WHY, failed:WHY. WHY is the decision that
+    # How requests ended: served, gone (the client left), gone:unanswered (it left when its wait was all but
+    # over, so that this router may have been late), refused:WHY, failed:WHY. WHY is the decision that
     # gave it up: placement (no server calm), throttle, buffer (waited there too long), fetch (waited for
     # another's read), origin, total (of the fleet's reads of the database), storm, order, budget (of
     # retries), attempts (no one more is allowed), full, error, late, room (of the router), overdue (the
@@ -38,6 +39,11 @@
     calls: Numbers = field(default_factory=dict)  # to discovery: ok, or the error's name
     words: Numbers = field(default_factory=dict)  # between routers: told, bytes, heard, unread
     away: Numbers = field(default_factory=dict)  # stopped, or without its core: times, ms
+    lag: Numbers = field(default_factory=dict)  # delays of the event loop: times, ms
+    # Requests whose bytes may have lain unread for over 5 ms, by how long: under 20, 50, 100, 150 ms, more.
+    unread: Numbers = field(default_factory=dict)
+    accepts: Numbers = field(default_factory=dict)  # pauses in accepting clients: pauses, ms
+    closed: Numbers = field(default_factory=dict)  # connections of clients, by why they ended
     open: int = 0  # connections to servers at its end
     list_age: float = -1.0  # s since discovery last answered; -1: it never has
     rate: float = 0.0  # of the throttle, likely misses a second; 0: it is off
@@ -46,12 +52,15 @@
 
 @dataclass(slots=True)
 class Bad:
-    """A request that ended without an answer after it had been sent on."""
+    """A request that ended without an answer after it had been sent on, or whose client gave up waiting."""
 
     at: float
     id: str
     how: str
     tries: list[str]  # the servers tried, each with how it ended
+    connection: int = 0  # the client connection's number
+    unread: int = 0  # ms for which it may have lain unread before it was taken
+    left: int = 0  # ms that were left of its client's wait when it ended; below 0: it was late
 
 
 WORDS: dict[str, type[Second] | type[Bad]] = {"second": Second, "bad": Bad}
--- a/tests/node/test_crossings.py
+++ b/tests/node/test_crossings.py
@@ -23,6 +23,7 @@
 from rainhitch.node import client as client_module
 from rainhitch.node import pool
 from rainhitch.node.client import MOST_PIPELINED
+from rainhitch.node.closing import CloseReason
 from rainhitch.node.configuration import configured
 from rainhitch.node.discovery import Watch, read_endpoint
 from rainhitch.node.service import Service
@@ -395,7 +396,7 @@
         client.transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
         raw.sendall(get(b"one"))
         await soon(lambda: client.transport and client.transport.get_write_buffer_size())
-        client.half_close()
+        client.half_close(CloseReason.IDLE)
         await asyncio.sleep(0.2)  # several times for which one that has its answer may linger
         got = b""
         while piece := await asyncio.to_thread(raw.recv, 65536):
--- /dev/null
+++ b/tests/node/test_lag.py
@@ -0,0 +1,100 @@
+"""How late an event loop is found to be. The loop is scripted: its clock, and what it calls next turn."""
+
+from collections.abc import Callable
+from typing import Any, cast
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from rainhitch.node.lag import HEARTBEAT, OVERDUE, SLOW, LoopLag
+
+MILLI = 1_000_000
+
+
+class ScriptedLoop:
+    """A loop whose turns and delays are the test's; its heartbeat comes when the loop can run it."""
+
+    def __init__(self) -> None:
+        self.now = 10**12
+        self.soon: list[Callable[[], Any]] = []
+        self.delays: list[int] = []
+        self.lag = LoopLag(cast(Any, self), lambda: self.now, self.delays.append)
+
+    def call_soon(self, callback: Callable[[], Any]) -> None:
+        self.soon.append(callback)
+
+    def turn(self, waited: int = 0, held_up: int = 0) -> None:
+        """The end of a turn and the poll of the next one, in which the process is held up: then what is read
+        comes before the timers."""
+        ready, self.soon = self.soon, []
+        for callback in ready:
+            callback()
+        while self.lag.due <= self.now + waited:
+            waited -= max(0, self.lag.due - self.now)
+            self.now = max(self.now, self.lag.due)
+            self.lag.heartbeat()
+        self.now += waited + held_up
+
+    def read(self, takes: int = 0) -> int:
+        """A callback; gives the age of what it reads."""
+        self.lag.begins()
+        age = self.lag.age()
+        self.now += takes
+        self.lag.ends()
+        return age
+
+
+def test_what_a_punctual_loop_reads_has_no_age() -> None:
+    loop = ScriptedLoop()
+    for waited in (0, MILLI, 50 * MILLI, 90 * MILLI, 450 * MILLI):
+        loop.turn(waited)
+        assert loop.read(takes=SLOW) == 0
+    assert not loop.delays
+
+
+def test_a_callback_that_takes_long_counts_for_the_rest_of_its_turn_and_the_next_one() -> None:
+    loop = ScriptedLoop()
+    loop.turn(10 * MILLI)
+    assert loop.read(takes=120 * MILLI) == 0
+    assert loop.read() == 120 * MILLI
+    loop.turn()
+    assert loop.read() == 120 * MILLI  # it may have come as that callback began
+    loop.turn()
+    assert loop.read() == 0
+    assert loop.delays == [120 * MILLI]
+
+
+def test_a_process_that_was_held_up_in_the_poll_is_known_by_its_heartbeat() -> None:
+    loop = ScriptedLoop()
+    loop.read()
+    loop.turn(HEARTBEAT // 2, held_up=HEARTBEAT)
+    assert loop.read() >= HEARTBEAT
+    loop.turn()
+    assert loop.read() >= HEARTBEAT
+    loop.turn()
+    assert loop.read() == 0
+    assert len(loop.delays) == 1
+
+
+steps = st.tuples(
+    st.integers(0, HEARTBEAT), st.integers(0, 400 * MILLI), st.lists(st.integers(0, 300 * MILLI), max_size=4)
+)
+
+
+@given(st.lists(steps))
+def test_nothing_is_taken_for_younger_than_what_can_be_seen_of_its_age(
+    turns: list[tuple[int, int, list[int]]],
+) -> None:
+    """What comes as the poll begins, or as a callback does, is at least as old as the delay that it lay
+    through, less what no heartbeat tells."""
+    loop = ScriptedLoop()
+    for waited, held_up, callbacks in turns:
+        loop.turn(waited, held_up)
+        age = loop.read()
+        assert age >= (held_up if held_up > HEARTBEAT + OVERDUE else 0)
+        for takes in callbacks:
+            begun = loop.now
+            loop.read(takes)
+            assert loop.read() >= (loop.now - begun if takes > SLOW else 0)
+            loop.turn()
+            assert loop.read() >= (loop.now - begun if takes > SLOW else 0)
--- a/tests/telemetry/test_logs.py
+++ b/tests/telemetry/test_logs.py
@@ -42,7 +42,7 @@
 def test_a_flood_of_bad_ends_is_told_of_by_a_few_ids() -> None:
     counts = Counts()
     for number in range(1000):
-        counts.bad(1.0, str(number), "failed:late", ["s timeout"])
+        counts.add_bad(Bad(1.0, str(number), "failed:late", ["s timeout"]))
     assert len(counts.cut_bad()) == MOST_BAD and not counts.cut_bad()
 
 
@@ -122,3 +122,13 @@
     fleet, ledgers = played(messages={"loss": 1.0})
     assert fleet.whole.counts["words"]["told"] and not fleet.whole.counts["words"]["heard"]
     assert not ledgers["problems"]
+
+
+def test_requests_are_counted_by_how_long_they_may_have_lain_unread() -> None:
+    counts = Counts()
+    for age in (0, 4, 5, 19, 20, 120, 150, 2000):
+        counts.add_unread(age)
+    counts.add_lag(120_400_000)
+    made = counts.cut(1.0, 0.0)
+    assert made is not None and made.lag == {"times": 1, "ms": 120}
+    assert made.unread == {"under 20 ms": 2, "under 50 ms": 1, "under 150 ms": 1, "more": 2}
