Failing tests: routers that are held up answer when their clients have left

The kit's judge excused each request that crossed a router's stop, however short: now only a stop of over 0.2 s.

--- a/rainhitch/rehearsal/judge/evidence.py
+++ b/rainhitch/rehearsal/judge/evidence.py
@@ -8,6 +8,7 @@
 Json = dict[str, Any]
 SECOND = 1_000_000_000
 MILLI = 1_000_000
+HELD_UP = 200 * MILLI  # ns for which a router may be held up and owes all the same; with what signals take
 NEVER = 1 << 62
 NEVER_RAN = ("busy", "miss")
 STALL_NEAR = SECOND  # ns round an instant within which the rig's own stalls count
@@ -111,13 +112,14 @@
         return any(started <= when <= at and state == "Ready" for when, state in rows)
 
     def died(self, router: int, begin: int, end: int) -> bool:
-        """Whether a router was killed, stopped as it stood, or crashed, between two instants."""
+        """Whether a router was killed, crashed, or was stopped as it stood for longer than it has to bear,
+        between two instants."""
         asked = ""  # what the stage did to it last; who is told to stop has to answer what it holds
         stopped = 0
         for what, at in self.lives.get(router, []):
             if what == "pause":
                 stopped = at
-            elif what == "wake" and stopped <= end and at >= begin:
+            elif what == "wake" and at - stopped > HELD_UP and stopped <= end and at >= begin:
                 return True
             if what in ("start", "term", "kill", "late kill"):
                 asked = what
--- /dev/null
+++ b/tests/node/test_hold_ups.py
@@ -0,0 +1,124 @@
+"""Routers that are held up for a while: stopped as they stand, or between the poll and the program. What lies
+in their sockets meanwhile ages, and its client waits no longer for it. Processes of the program.
+
+Each hold-up is HELD s long and each wait WAIT s; an answer is in time up to IN_TIME, far from both a router
+that counts the hold-up and one that does not.
+"""
+
+import asyncio
+import contextlib
+import signal
+import sys
+import time
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import pytest
+from faulty import LATE, LATE_S
+from peers import PATIENCE, Cache, Caller, entry, hit
+from program import ROOT, configuration, listing, started
+
+HELD, WAIT = LATE_S, 0.7
+IN_TIME = WAIT + HELD / 2
+INFO = b"c=read,t=acme,d=%d" % (WAIT * 1000)
+
+
+@dataclass
+class Router:
+    """One process of the program."""
+
+    running: asyncio.subprocess.Process
+    address: tuple[str, int]
+
+    async def caller(self) -> Caller:
+        return Caller(*await asyncio.open_connection(*self.address))
+
+    async def held_up(self, seconds: float = HELD) -> None:
+        """Stops it as it stands for so long."""
+        self.running.send_signal(signal.SIGSTOP)
+        try:
+            await asyncio.sleep(seconds)
+        finally:
+            self.running.send_signal(signal.SIGCONT)
+
+
+@contextlib.asynccontextmanager
+async def routers(tmp_path: Path, cache: Cache, number: int, faults: str = "") -> AsyncIterator[list[Router]]:
+    """So many processes with the same cache server."""
+    await cache.start()
+    made: list[Router] = []
+    drains: list[asyncio.Task[Any]] = []
+    try:
+        for one in range(number):
+            folder = tmp_path / str(one)
+            folder.mkdir()
+            env = configuration(folder, known=listing(1, entry("c0", cache.address)))
+            env |= {"FAULTS": faults, "PYTHONPATH": str(ROOT)}
+            program = [sys.executable, str(ROOT / "tests" / "faulty.py")]
+            running = await asyncio.create_subprocess_exec(
+                *program, env=env, cwd=ROOT, stderr=asyncio.subprocess.PIPE
+            )
+            made.append(Router(running, await started(running)))
+            assert running.stderr is not None
+            drains.append(asyncio.create_task(running.stderr.read()))
+        yield made
+    finally:
+        for router in made:
+            router.running.kill()
+            await router.running.wait()
+        for drain in drains:
+            await drain
+        await cache.stop()
+
+
+def silent_but_for_warm() -> Cache:
+    """Answers for one key and says nothing for all others."""
+    return Cache(lambda asked, line: hit() if asked[1] == b"warm" else None)
+
+
+async def warm(router: Router) -> Caller:
+    """A connection that has carried a request before."""
+    caller = await router.caller()
+    caller.get(b"warm", b"first")
+    assert await caller.answer() == b"v"
+    return caller
+
+
+async def seconds_to_answer(caller: Caller, key: bytes, name: bytes) -> float:
+    """How long a client waits for a final answer to a request that no server answers."""
+    sent = time.monotonic()
+    caller.get(key, name, INFO)
+    assert await asyncio.wait_for(caller.answer(), PATIENCE) is not None
+    return time.monotonic() - sent
+
+
+@pytest.mark.parametrize("faults", ["", "blind"])
+async def test_processes_a_stopped_router_answers_what_lay_in_its_sockets_in_its_clients_time(
+    tmp_path: Path, faults: str
+) -> None:
+    """Two routers, one of them stopped for less than it takes for an absence. It timed what lay there from
+    when it read it, and answered when its clients had left."""
+    async with routers(tmp_path, silent_but_for_warm(), 2, faults) as (stopped, other):
+        callers = [await warm(one) for one in (stopped, other)]
+        newcomer = await stopped.caller()
+        stop = asyncio.create_task(stopped.held_up())
+        await asyncio.sleep(0.02)  # it has stopped
+        times = await asyncio.gather(
+            seconds_to_answer(callers[0], b"k", b"kept"),
+            seconds_to_answer(newcomer, b"k", b"new"),
+            seconds_to_answer(callers[1], b"k", b"beside"),
+        )
+        await stop
+        assert max(times) < IN_TIME
+
+
+async def test_processes_a_router_held_up_behind_its_poll_answers_in_its_clients_time(tmp_path: Path) -> None:
+    """The request that it was reading, and one that came meanwhile and is read right after it."""
+    async with routers(tmp_path, silent_but_for_warm(), 1, "blind late") as (router,):
+        first, second = await warm(router), await warm(router)
+        held = asyncio.create_task(seconds_to_answer(first, LATE, b"held"))
+        await asyncio.sleep(0.02)
+        behind = await seconds_to_answer(second, b"k", b"behind")
+        assert max(await held, behind) < IN_TIME
