Deadlines count the time that a request lay unread and keep a reserve against hold-ups

Cause: a request's time ran from the router's reading of its clock. The age of unread bytes was asked of the system only for a connection's first command, in storms and after absences of over 0.6 s, and is not told everywhere (client.py, data_received); nothing was kept for a hold-up before the final answer (driver.py, take: 8 ms). Class: the moment of a clock's reading taken for that of an arrival or of a write. Records: what tells of lateness stands first, since platforms cut lines.

--- a/rainhitch/node/caches.py
+++ b/rainhitch/node/caches.py
@@ -3,7 +3,7 @@
 import re
 
 from rainhitch.interface import Status
-from rainhitch.node.call import Ending, Exchange
+from rainhitch.node.call import Call, Ending
 from rainhitch.node.pool import Connection, Pool
 from rainhitch.node.relay import Relay
 from rainhitch.protocol import resp
@@ -44,9 +44,8 @@
         super().__init__(pool)
         self.frames: resp.Stream = resp.Frames(answers=True)
 
-    def encode(self, exchange: Exchange) -> bytes:
-        call = exchange.call
-        parts = [call.name, call.key, call.id, self.info(exchange)]
+    def encode(self, call: Call, info: bytes) -> bytes:
+        parts = [call.name, call.key, call.id, info]
         return resp.command(*parts, *([] if call.value is None else [call.value]))
 
     def read(self, data: bytes) -> None:
--- a/rainhitch/node/client.py
+++ b/rainhitch/node/client.py
@@ -22,6 +22,7 @@
 LINGER = 1.0  # s for which a client that has its last answer may go on sending,
 LINGER_BYTES = 256 << 10  # and how much of that is read
 MILLI = 1_000_000
+AT_ONCE = 20_000_000  # ns after an accept within which what had come with it is read
 SMALL = 1024  # bytes of an answer that is kept whatever else is
 log = logging.getLogger("rainhitch")
 
@@ -78,11 +79,11 @@
         self.greeted_only = True  # none of them but what a connection says of itself
         self.turned = False  # away: there was no room
         self.mute = True
-        self.waited = 0  # ms for which what has come last had been lying unread
         self.buffered = 0  # bytes as the server counts them
         self.waiting = 0  # of them, in answers whose turn has not come
         self.spilt = 0  # bytes read while lingering
-        self.unread_ms = 0  # ms for which what has come last may have lain unread, as it is told in records
+        self.unread_ms = 0  # ms for which what has come last may have lain unread
+        self.accepted_at = self.accepted_age = 0  # ns: when, and for how long it may have waited for that
         self.stuck: asyncio.TimerHandle | None = None
         self.reason: CloseReason | None = None  # why it ends
 
@@ -93,6 +94,9 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
+        self.server.driver.lag.begins()
+        self.accepted_at = self.server.system.now()
+        self.accepted_age = self.server.accept_age(self.accepted_at)
         if not self.server.admit(self):
             self._turn_away()
 
@@ -133,10 +137,8 @@
     def data_received(self, data: bytes) -> None:
         lag = self.server.driver.lag
         lag.begins()
-        back = self.server.driver.back()
-        told = self._lay_unread()
-        self.waited = told if self.mute or back or self.server.crowded() else 0
-        self.unread_ms = max(told, lag.age() // MILLI)
+        self.server.driver.back()
+        self.unread_ms = self._age() // MILLI
         self.mute = False
         if self.turned:
             self._heard_out(data)
@@ -150,11 +152,17 @@
             self.advance()
         lag.ends()
 
-    def _lay_unread(self) -> int:
-        """For how many ms what has come had been lying in the system. Guards rule 1 against the time that a
-        newcomer spent in the backlog, which is its client's time too."""
+    def _age(self) -> int:
+        """For how long what has come may have been lying in the system, ns. Guards rule 1 against the time in
+        which the process was held up or a newcomer waited in the backlog, which is its client's time too. The
+        system does not tell it everywhere; the loop's own delays count there."""
         assert self.transport is not None
-        return self.server.system.unread_ms(self.transport)
+        system = self.server.system
+        age = max(system.unread_ms(self.transport) * MILLI, self.server.driver.lag.age())
+        since = system.now() - self.accepted_at
+        if self.mute and since < AT_ONCE:
+            age = max(age, since + self.accepted_age)  # it came with its connection
+        return age
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.transport = None
@@ -391,7 +399,7 @@
             self.server.count("bad commands")
             self._put(resp.error(str(problem)))
             return
-        call.wait = max(1, call.wait - self.waited)
+        call.wait = max(1, call.wait - self.unread_ms)
         call.unread, call.connection = self.unread_ms, self.session.id
         slot = Slot(self)
         self.slots.append(slot)
--- a/rainhitch/node/clients.py
+++ b/rainhitch/node/clients.py
@@ -108,9 +108,10 @@
         with contextlib.suppress(CallError, IndexError):
             self.driver.tally.shed[read_call(parts, self.names).cls] += 1
 
-    def crowded(self) -> bool:
-        """Whether requests may have lain unread for long before the router came to them."""
-        return self.damper is not None and self.damper.storm
+    def accept_age(self, now: int) -> int:
+        """For how long a connection that is accepted now may have waited for that, ns."""
+        waited = 0 if self.listener is None else self.listener.age(now)
+        return max(waited, self.driver.lag.age())
 
     def turn_away(self, client: Client) -> None:
         """Counts one that had no room; a few are heard out at a time, out of the spare descriptors."""
--- a/rainhitch/node/driver.py
+++ b/rainhitch/node/driver.py
@@ -12,6 +12,7 @@
 from rainhitch.admin.figures import Tally
 from rainhitch.fleet.away import SETTLE, Away
 from rainhitch.node.call import Call, Ending, Exchange
+from rainhitch.node.deadlines import WAY_BACK, reserve
 from rainhitch.node.lag import HEARTBEAT, LoopLag
 from rainhitch.node.pool import Connection, Pool, Pools
 from rainhitch.node.relay import Relay, Source
@@ -23,7 +24,6 @@
 MILLI = 1_000_000
 SECOND = 1_000_000_000
 GAVE_UP = 150 * MILLI  # left of its wait when a client leaves, by which it seems to have given up waiting
-WAY_BACK = 8 * MILLI  # kept of a client's time so that the last answer reaches it before it leaves
 log = logging.getLogger("rainhitch")
 
 
@@ -97,6 +97,7 @@
         self.tally = Tally([str(n) for n in range(len(balancer.settings.classes))])
         self.counts = Counts()
         self.lag = LoopLag(self.loop, self.now, lambda delay: self.counts.add_lag(delay))
+        pools.callback_begins, pools.callback_ends = self.lag.begins, self.lag.ends
         self.customers: dict[int, str] = defaultdict(str)  # their names, by number
         self.watch: Callable[[], None] = lambda: None
         self.tell_peers: Callable[[list[api.Seen]], None] = lambda seen: None
@@ -124,15 +125,18 @@
             return None
         now = self.now()
         spec = self.balancer.settings.classes[call.cls]
-        until = now + min(call.wait * MILLI, spec.deadline)  # a client waits for no longer than that
-        until = min(until, self.stop_at or until)
-        held = self.held[name] = Held(name, call, place, until - WAY_BACK, until=until)
+        # A client waits for no longer than its class may.
+        left = min(call.wait * MILLI, max(MILLI, spec.deadline - call.unread * MILLI))
+        deadline = now + left - reserve(left)
+        deadline = min(deadline, self.stop_at - WAY_BACK if self.stop_at else deadline)
+        held = self.held[name] = Held(name, call, place, deadline, until=now + left)
         self.held_bytes += call.size
         self.tally.active += 1
         self.counts.taken += 1
         self.counts.add_unread(call.unread)
         self.took(call.tenant)
-        held.guard = self.loop.call_at((until - WAY_BACK // 2) / SECOND, self._overdue, held)
+        guard_at = deadline + WAY_BACK // 2
+        held.guard = self.loop.call_later(max(0, guard_at - now) / SECOND, self._overdue, held)
         key = call.key.decode("latin-1")
         write = call.value is not None
         self._tell(
@@ -163,9 +167,11 @@
         """Guards rule 2 against a repeat that comes too late, and servers against work for clients that left
         while it waited, for its turn or for a connection."""
         held = attempt.held
+        in_time = self.now() < by
+        # Asked last: what is read of the clock may be old by a hold-up, the client's end is told as it is.
         if held.open and held.place.gone():
             self.withdraw(held)
-        return held.open and held.attempt is attempt and self.now() < by
+        return in_time and held.open and held.attempt is attempt
 
     def voided(self, pool: Pool, keys: list[bytes] | None) -> None:
         """A server says that it holds keys no more. Guards answers against a flood of such news: it is told
--- a/rainhitch/node/origin.py
+++ b/rainhitch/node/origin.py
@@ -3,7 +3,7 @@
 from urllib.parse import quote_from_bytes
 
 from rainhitch.interface import Status
-from rainhitch.node.call import Ending, Exchange
+from rainhitch.node.call import Call, Ending
 from rainhitch.node.pool import Connection, Pool
 from rainhitch.protocol.http1 import Answer, Http, HttpError
 from rainhitch.protocol.resp import MOST_LONG, MOST_VALUE
@@ -26,9 +26,8 @@
         super().__init__(pool)
         self.http = Http(f"{pool.endpoint[0]}:{pool.endpoint[1]}", MOST_VALUE, MOST_LONG)
 
-    def encode(self, exchange: Exchange) -> bytes:
-        call = exchange.call
-        headers = [(b"X-Call-Id", call.id), (b"X-Call-Info", self.info(exchange))]
+    def encode(self, call: Call, info: bytes) -> bytes:
+        headers = [(b"X-Call-Id", call.id), (b"X-Call-Info", info)]
         target = f"/{quote_from_bytes(call.key, safe='')}".encode()
         return self.http.request(b"GET" if call.value is None else b"PUT", target, headers, call.value)
 
--- a/rainhitch/node/pool.py
+++ b/rainhitch/node/pool.py
@@ -9,7 +9,7 @@
 
 from rainhitch import system
 from rainhitch.interface import Endpoint, Status
-from rainhitch.node.call import Ending, Exchange
+from rainhitch.node.call import Call, Ending, Exchange
 from rainhitch.node.relay import Relay
 from rainhitch.telemetry.counts import Counts
 
@@ -44,8 +44,8 @@
         return exchange.call.info_for(exchange.until - self.pool.pools.system.now())
 
     @abstractmethod
-    def encode(self, exchange: Exchange) -> bytes:
-        """The bytes to write for an attempt."""
+    def encode(self, call: Call, info: bytes) -> bytes:
+        """The bytes to write for an attempt, with the list of names and values that goes on."""
 
     @abstractmethod
     def read(self, data: bytes) -> None:
@@ -58,13 +58,15 @@
 
     def _write(self) -> None:
         assert self.exchange is not None and self.transport is not None
-        # Guards against what changed while the connection came up: the server may drain by now, the client
-        # may have left, and the time in which a repeat is harmless may be over.
+        info = self.info(self.exchange)
+        # Guards against what changed while the connection came up or the process was held up: the server may
+        # drain by now, the client may have left, and the time in which a repeat is harmless may be over.
+        # Asked behind the last reading of the clock, right before the write.
         if self.pool.retired or not self.exchange.may_begin():
             self.finish(Ending(Status.MOOT))
             return
         try:
-            asked = self.encode(self.exchange)
+            asked = self.encode(self.exchange.call, info)
         except Exception:
             log.exception("an attempt could not be written")
             self.finish(Ending(Status.MOOT), reusable=False)
@@ -198,6 +200,7 @@
         self.unsent = False
 
     def data_received(self, data: bytes) -> None:
+        self.pool.pools.callback_begins()
         if self.exchange is None:
             self.close()  # nothing was asked
             return
@@ -206,6 +209,7 @@
         except Exception:
             log.exception("an answer could not be handled")
             self.spoil()
+        self.pool.pools.callback_ends()
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.lost()
@@ -331,6 +335,8 @@
         self.unknown_pushes = 0
         self.written = 0  # attempts written whole, since the start
         self.counts = Counts()
+        self.callback_begins: Callable[[], None] = lambda: None  # told of each read, for the loop's lag
+        self.callback_ends: Callable[[], None] = lambda: None
 
     def hold_idle(self, seconds: float) -> None:
         """Sets for how long a connection may be idle; a server's keepalive bounds it."""
--- a/rainhitch/policy/jobs.py
+++ b/rainhitch/policy/jobs.py
@@ -5,6 +5,8 @@
 from rainhitch import interface as api
 
 S = api.Status
+HELD_UP = 100_000_000  # ns kept of a window: a hold-up of 0.15 s less the protocol's slack of 0.05 s,
+HELD_UP_PART = 4  # and one part in so many of a short window at most
 NEVER_RAN = frozenset((S.FULL, S.CONNECT_FAILED, S.MOOT, S.MISS, S.NO_ROOM))
 
 
@@ -55,4 +57,6 @@
         return now < self.window_end()
 
     def window_end(self) -> int:
-        return min(sent for _, sent in self.live.values()) + self.spec.window
+        """Until when a repeat may be begun: the router may be held up between this and its write."""
+        reserve = min(HELD_UP, self.spec.window // HELD_UP_PART)
+        return min(sent for _, sent in self.live.values()) + self.spec.window - reserve
--- a/rainhitch/system.py
+++ b/rainhitch/system.py
@@ -94,7 +94,8 @@
         return server
 
     def waits(self) -> bool:
-        return polled(self.socket, select.POLLIN)
+        # Whom the loop has accepted may be told of after the socket was closed.
+        return self.socket.fileno() >= 0 and polled(self.socket, select.POLLIN)
 
     def close(self) -> None:
         self.socket.close()
--- a/rainhitch/telemetry/records.py
+++ b/rainhitch/telemetry/records.py
@@ -19,6 +19,12 @@
 
     at: float
     taken: int = 0  # requests
+    # What tells of lateness stands first: platforms cut long lines.
+    lag: Numbers = field(default_factory=dict)  # delays of the event loop: times, ms
+    # Requests whose bytes may have lain unread for over 5 ms, by how long: under 20, 50, 100, 150 ms, more.
+    unread: Numbers = field(default_factory=dict)
+    accepts: Numbers = field(default_factory=dict)  # pauses in accepting clients: pauses, ms
+    closed: Numbers = field(default_factory=dict)  # connections of clients, by why they ended
     # How requests ended: served, gone (the client left), gone:unanswered (it left when its wait was all but
     # over, so that this router may have been late), refused:WHY, failed:WHY. WHY is the decision that
     # gave it up: placement (no server calm), throttle, buffer (waited there too long), fetch (waited for
@@ -39,11 +45,6 @@
     calls: Numbers = field(default_factory=dict)  # to discovery: ok, or the error's name
     words: Numbers = field(default_factory=dict)  # between routers: told, bytes, heard, unread
     away: Numbers = field(default_factory=dict)  # stopped, or without its core: times, ms
-    lag: Numbers = field(default_factory=dict)  # delays of the event loop: times, ms
-    # Requests whose bytes may have lain unread for over 5 ms, by how long: under 20, 50, 100, 150 ms, more.
-    unread: Numbers = field(default_factory=dict)
-    accepts: Numbers = field(default_factory=dict)  # pauses in accepting clients: pauses, ms
-    closed: Numbers = field(default_factory=dict)  # connections of clients, by why they ended
     open: int = 0  # connections to servers at its end
     list_age: float = -1.0  # s since discovery last answered; -1: it never has
     rate: float = 0.0  # of the throttle, likely misses a second; 0: it is off
--- a/tests/node/test_router.py
+++ b/tests/node/test_router.py
@@ -12,7 +12,8 @@
 from rainhitch import interface as api
 from rainhitch.node import pool
 from rainhitch.node.call import Call, Exchange
-from rainhitch.node.driver import WAY_BACK, Held
+from rainhitch.node.deadlines import WAY_BACK
+from rainhitch.node.driver import Held
 from rainhitch.protocol import resp
 
 INFO = b"c=read,t=acme,d=9000"
