What waits unread is looked for before a time-out; tests for each place of a hold-up

The same mistake elsewhere (a timer's run or a look taken for the moment of a deadline or a write): - a late loop runs its timers before it reads its sockets: an answer that came in time was thrown away and its server taken for silent (Driver._timeout, _overdue). One more turn where the attempt's connection has something unread. - an idle connection was used up to 0.8 of its server's keepalive, however short: now 0.15 s before its end at the latest. Tests: a client that leaves behind any reading of the clock, accept pauses where the system does not tell, one hold-up anywhere (property).

--- a/rainhitch/node/driver.py
+++ b/rainhitch/node/driver.py
@@ -23,6 +23,7 @@
 
 MILLI = 1_000_000
 SECOND = 1_000_000_000
+A_TURN = 0.005  # s in which what waits in the sockets is read
 GAVE_UP = 150 * MILLI  # left of its wait when a client leaves, by which it seems to have given up waiting
 log = logging.getLogger("rainhitch")
 
@@ -37,6 +38,7 @@
     sent: int
     connection: Connection | None = None
     timer: asyncio.TimerHandle | None = None
+    spared: bool = False  # its time was over with an answer unread, and it was given one more turn
 
 
 class Place(Protocol):
@@ -204,6 +206,11 @@
             self._overdue(held)
 
     def _overdue(self, held: Held) -> None:
+        """Its time is over, and its attempt's timer has not ended it."""
+        if not (held.open and held.attempt is not None and self._spare(held.attempt)):
+            self._give_up(held)
+
+    def _give_up(self, held: Held) -> None:
         """Guards rule 1 against a request that the decisions have lost: it fails in time all the same."""
         if held.open:
             self._answer(held, resp.FAILED, self.tally.errors, "failed:overdue")
@@ -274,7 +281,7 @@
     def _abandon(self, name: str) -> None:
         held = self.held.get(name)
         if held is not None:
-            self._overdue(held)
+            self._give_up(held)
 
     def _act(self, action: api.Action) -> None:
         match action:
@@ -336,9 +343,24 @@
         if attempt.connection is None:
             self._ended(attempt, Ending(api.Status.NO_ROOM))
 
+    def _spare(self, attempt: Attempt) -> bool:
+        """Whether an attempt whose time is over has an answer unread, and gets one more turn for it. Guards
+        answers that came in time against a late loop, whose timers run before its sockets are read."""
+        if attempt.spared or attempt.connection is None or not attempt.connection.answer_waits():
+            return False
+        attempt.spared = True
+        for timer in (attempt.timer, attempt.held.guard):
+            if timer is not None:
+                timer.cancel()
+        attempt.timer = self.loop.call_later(A_TURN, self._timeout, attempt)
+        attempt.held.guard = self.loop.call_later(2 * A_TURN, self._overdue, attempt.held)
+        return True
+
     def _timeout(self, attempt: Attempt) -> None:
         """The connection is closed before the decisions hear of it, so that no second copy is ever out."""
-        if attempt.held.attempt is attempt and attempt.connection is not None:
+        if attempt.held.attempt is not attempt or self._spare(attempt):
+            return
+        if attempt.connection is not None:
             may_have_run = attempt.connection.give_up()
             self._ended(attempt, Ending(api.Status.TIMEOUT if may_have_run else api.Status.MOOT))
 
--- a/rainhitch/node/pool.py
+++ b/rainhitch/node/pool.py
@@ -10,10 +10,12 @@
 from rainhitch import system
 from rainhitch.interface import Endpoint, Status
 from rainhitch.node.call import Call, Ending, Exchange
+from rainhitch.node.deadlines import HELD_UP
 from rainhitch.node.relay import Relay
 from rainhitch.telemetry.counts import Counts
 
 IDLE_MOST = 10.0  # s after which an idle connection is surplus: it costs more than opening one anew
+SECOND = 1_000_000_000
 IDLE_PART = 0.8  # of the server's keepalive: closed well before the server does
 SETTLE = 0.005  # s after an answer in which what comes behind it shows
 SWEEP = 1.0
@@ -88,6 +90,13 @@
         self.close()
         return not unsent
 
+    def answer_waits(self) -> bool:
+        """Whether something has come for the attempt that is out and was not read yet."""
+        transport = self.transport
+        if self.exchange is None or transport is None or transport.is_closing():
+            return False
+        return self.pool.pools.system.readable(transport)
+
     def let_go(self) -> bool:
         """Takes the attempt back if it is not written whole, so that it never began there. Where nothing of
         it was, the connection is the next one's."""
@@ -340,7 +349,9 @@
 
     def hold_idle(self, seconds: float) -> None:
         """Sets for how long a connection may be idle; a server's keepalive bounds it."""
-        self.idle_most = min(seconds, self.keepalive * IDLE_PART)
+        # Closed before the server does, also where the process is held up between the look and the write.
+        due = min(self.keepalive * IDLE_PART, self.keepalive - HELD_UP / SECOND)
+        self.idle_most = min(seconds, max(0.0, due))
 
     def add(self, name: str, endpoint: Endpoint, make: Callable[[Pool], Connection]) -> Pool:
         """The pool of a server; one at another endpoint takes the place of the old."""
--- /dev/null
+++ b/tests/node/test_deadlines.py
@@ -0,0 +1,124 @@
+"""Deadlines where the process is held up at any reading of its clock, over loopback sockets."""
+
+import asyncio
+import socket
+from collections.abc import Callable
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from peers import Bench, router, soon
+
+from rainhitch.node.client import Client
+from rainhitch.node.deadlines import HELD_UP, MILLI, RESERVE, RESERVE_PART, SLACK, WAY_BACK, reserve
+from rainhitch.protocol.resp import command
+
+INFO = b"c=read,t=acme,d=%d"
+
+
+@given(
+    wait=st.integers(RESERVE * RESERVE_PART, 10_000 * MILLI),
+    unseen=st.integers(0, HELD_UP),
+    late=st.integers(0, HELD_UP),
+    before=st.booleans(),
+)
+def test_one_hold_up_anywhere_leaves_the_final_answer_in_its_clients_time(
+    wait: int, unseen: int, late: int, before: bool
+) -> None:
+    """It falls before the request is read, unseen, or between its deadline and the final answer."""
+    read, answered = (unseen, 0) if before else (0, late)
+    assert read + wait - reserve(wait) + answered + WAY_BACK <= wait + SLACK
+
+
+@given(st.integers(1, 10_000 * MILLI))
+def test_the_reserve_leaves_a_short_wait_its_greater_part(wait: int) -> None:
+    assert reserve(wait) <= max(WAY_BACK, wait // RESERVE_PART)
+
+
+class Readings:
+    """Counts the readings of a router's clock, and does something behind one of them."""
+
+    def __init__(self, bench: Bench, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.count = 0
+        self.at = 0  # 0: never
+        self.act: Callable[[], None] = lambda: None
+        self.now = bench.driver.now
+        monkeypatch.setattr(bench.driver, "now", self.read)
+        monkeypatch.setattr(bench.pools.system, "now", self.read)
+
+    def read(self) -> int:
+        told = self.now()
+        self.count += 1
+        if self.count == self.at:
+            self.act()
+        return told
+
+
+async def newcomer(bench: Bench) -> tuple[socket.socket, Client]:
+    """A client, and its connection at the router."""
+    before = set(bench.clients.open)
+    raw = socket.create_connection(("127.0.0.1", bench.port))
+    await soon(lambda: len(bench.clients.open) > len(before))
+    [client] = set(bench.clients.open) - before
+    return raw, client
+
+
+async def test_nothing_is_begun_for_a_client_that_leaves_behind_any_reading_of_the_clock(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The process may be held up behind each of them: what was asked before it is old."""
+    async with router() as bench:
+        warm = await bench.caller()
+        warm.get(name=b"warm")
+        assert await warm.answer() == b"v"
+        left_before = 0
+        for at in range(1, 40):
+            await asyncio.sleep(0.01)  # the connection to the cache server may be used again
+            raw, client = await newcomer(bench)
+            written = bench.pools.written
+            seen: list[int] = []
+
+            def leave(raw: socket.socket = raw, seen: list[int] = seen) -> None:
+                raw.close()
+                seen.append(bench.pools.written)
+
+            with monkeypatch.context() as patched:
+                readings = Readings(bench, patched)
+                readings.at, readings.act = at, leave
+                client.data_received(command(b"C.GET", b"k", b"leaves%d" % at, INFO % 900))
+            raw.close()
+            if seen == [written]:  # it left before anything was written
+                left_before += 1
+                assert bench.pools.written == written, f"reading {at}"
+            await soon(lambda: not bench.driver.held)
+        assert left_before >= 4
+
+
+async def test_a_newcomer_is_timed_from_when_an_accept_pause_began_where_the_system_does_not_tell(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async with router(lambda asked, line: None) as bench:
+        monkeypatch.setattr(bench.pools.system, "unread_ms", lambda transport: 0)
+        monkeypatch.setattr(bench.clients.system, "unread_ms", lambda transport: 0)
+        assert bench.clients.listener is not None
+        bench.clients.listener.pause(0.2)
+        await asyncio.sleep(0)
+        with socket.create_connection(("127.0.0.1", bench.port)) as raw:
+            raw.sendall(command(b"C.GET", b"k", b"waits", INFO % 900))
+            await soon(lambda: bench.driver.held)
+            [held] = bench.driver.held.values()
+            assert (
+                held.call.unread >= 190 and held.call.wait <= 900 - 190
+            )  # a timer may be early by its rounding
+            assert held.deadline <= bench.driver.now() + 700 * MILLI - RESERVE
+        with socket.create_connection(("127.0.0.1", bench.port)) as raw:
+            await asyncio.sleep(0.05)  # nobody waits any more: what it says later is new
+            raw.sendall(command(b"C.GET", b"k", b"comes", INFO % 900))
+            held = await soon(lambda: bench.driver.held.get("comes"))
+            assert held.call.wait > 900 - 100
+
+
+async def test_a_connection_is_not_used_that_its_server_may_close_during_a_hold_up() -> None:
+    async with router(keepalive=300 * MILLI) as bench:
+        bench.pools.hold_idle(10.0)
+        assert bench.pools.idle_most == pytest.approx(0.3 - HELD_UP / 1e9)
--- a/tests/node/test_hold_ups.py
+++ b/tests/node/test_hold_ups.py
@@ -17,7 +17,7 @@
 
 import pytest
 from faulty import LATE, LATE_S
-from peers import PATIENCE, Cache, Caller, entry, hit
+from peers import PATIENCE, Cache, Caller, entry, hit, soon
 from program import ROOT, configuration, listing, started
 
 HELD, WAIT = LATE_S, 0.7
@@ -122,3 +122,27 @@
         await asyncio.sleep(0.02)
         behind = await seconds_to_answer(second, b"k", b"behind")
         assert max(await held, behind) < IN_TIME
+
+
+async def test_processes_an_answer_that_came_in_time_is_taken_though_its_time_out_runs_first(
+    tmp_path: Path,
+) -> None:
+    """A late loop runs its timers before it reads its sockets: the answer that waited there was thrown away,
+    and the server taken for one that had not answered."""
+    asked_first: list[asyncio.StreamWriter] = []
+
+    def answer(asked: list[bytes], line: asyncio.StreamWriter) -> bytes | None:
+        if asked[2] == b"in-time":
+            asked_first.append(line)
+        return hit() if asked[1] == b"warm" else None
+
+    async with routers(tmp_path, Cache(answer), 1, "blind late") as (router,):
+        first, second = await warm(router), await warm(router)
+        sent = time.monotonic()
+        first.get(b"k", b"in-time", INFO)
+        await soon(lambda: asked_first)
+        await asyncio.sleep(sent + HELD - 0.1 - time.monotonic())
+        second.get(LATE, b"second", INFO)  # the router reads this until the first one's time is over
+        await asyncio.sleep(0.05)
+        asked_first[0].write(hit(b"in time"))
+        assert await asyncio.wait_for(first.answer(), PATIENCE) == b"in time"
--- a/tests/node/test_hostile.py
+++ b/tests/node/test_hostile.py
@@ -475,6 +475,7 @@
 
 async def test_few_of_those_turned_away_are_heard_out_at_a_time() -> None:
     async with router(sockets=1) as bench:
+        bench.clients.idle_s = bench.clients.at_need_s = 3600  # the first one makes room for nobody
         await (await bench.caller()).answer_to_ping()
         many = [await bench.caller() for _ in range(3 * clients.MOST_TURNED)]
         await soon(lambda: bench.clients.told["turned away"] == len(many))
