--- a/rainhitch/node/driver.py
+++ b/rainhitch/node/driver.py
@@ -12,7 +12,7 @@
 from rainhitch.admin.figures import Tally
 from rainhitch.fleet.away import SETTLE, Away
 from rainhitch.node.call import Call, Ending, Exchange
-from rainhitch.node.deadlines import WAY_BACK, reserve
+from rainhitch.node.deadlines import WAY_BACK, Reserve
 from rainhitch.node.lag import HEARTBEAT, LoopLag
 from rainhitch.node.pool import Connection, Pool, Pools
 from rainhitch.node.relay import Relay, Source
@@ -98,7 +98,8 @@
         self.held_bytes = 0
         self.tally = Tally([str(n) for n in range(len(balancer.settings.classes))])
         self.counts = Counts()
-        self.lag = LoopLag(self.loop, self.now, lambda delay: self.counts.add_lag(delay))
+        self.lag = LoopLag(self.loop, self.now, self._delayed)
+        self.reserve = Reserve()
         pools.callback_begins, pools.callback_ends = self.lag.begins, self.lag.ends
         self.customers: dict[int, str] = defaultdict(str)  # their names, by number
         self.watch: Callable[[], None] = lambda: None
@@ -129,7 +130,7 @@
         spec = self.balancer.settings.classes[call.cls]
         # A client waits for no longer than its class may.
         left = min(call.wait * MILLI, max(MILLI, spec.deadline - call.unread * MILLI))
-        deadline = now + left - reserve(left)
+        deadline = now + left - self.reserve.of(now, left)
         deadline = min(deadline, self.stop_at - WAY_BACK if self.stop_at else deadline)
         held = self.held[name] = Held(name, call, place, deadline, until=now + left)
         self.held_bytes += call.size
@@ -233,6 +234,10 @@
         finally:
             self._playing = False
 
+    def _delayed(self, delay: int) -> None:
+        self.counts.add_lag(delay)
+        self.reserve.found(self.now(), delay)
+
     def _beat(self) -> None:
         self.lag.heartbeat()
         self._notice(self.now())
--- a/rainhitch/node/lag.py
+++ b/rainhitch/node/lag.py
@@ -20,8 +20,8 @@
 
 SECOND = 1_000_000_000
 SLOW = 2_000_000  # ns of a callback from which it has kept what came meanwhile waiting
-HEARTBEAT = SECOND // 10  # ns
-OVERDUE = SECOND // 50  # ns by which the heartbeat of a loop that is not held up may come late
+HEARTBEAT = SECOND // 40  # ns
+OVERDUE = SECOND // 100  # ns by which the heartbeat of a loop that is not held up may come late
 
 
 class LoopLag:
