--- a/rainhitch/fleet/away.py
+++ b/rainhitch/fleet/away.py
@@ -3,14 +3,14 @@
 
 Theory. A process that is stopped does not see it. What it held has aged by the whole stop, its timers come
 all at once, before what waits in its sockets, and what waits there looks as if it had come just now. So time
-is beaten BEAT apart, and an event that comes later than that by more than LATE says that the router was away
-since the last beat. Then nothing is acted on before the sockets have been read once (SETTLE): who has left
-meanwhile is known to have left. And what is found in the first BEAT may be as old as the stop. The clock has
+is beaten every BEAT at the latest, and an event that comes later than that by more than LATE says that the
+router was away since the last beat. Then nothing is acted on before the sockets have been read once
+(SETTLE): who has left meanwhile is known to have left. And what is found in the first BEAT may be as old as the stop. The clock has
 to be one that goes on while the process stands still (CLOCK_MONOTONIC).
 """
 
 SECOND = 1_000_000_000
-BEAT = SECOND // 10  # ns; the host's heartbeat
+BEAT = SECOND // 10  # ns
 LATE = SECOND // 2  # ns by which a beat is later than a busy core explains
 SETTLE = SECOND // 200  # ns in which the sockets are read
 
--- a/rainhitch/node/client.py
+++ b/rainhitch/node/client.py
@@ -8,10 +8,10 @@
 
 from rainhitch.node.call import CallError, read_call
 from rainhitch.node.closing import CloseReason
-from rainhitch.node.driver import Held
 from rainhitch.node.pool import PIECE
 from rainhitch.node.relay import Relay
 from rainhitch.node.session import GREETINGS, Session
+from rainhitch.node.slot import Slot
 from rainhitch.protocol import resp
 
 if TYPE_CHECKING:
@@ -27,43 +27,6 @@
 log = logging.getLogger("rainhitch")
 
 
-class Slot:
-    """The place of one answer on its connection."""
-
-    __slots__ = ("answer", "client", "held", "relay", "version")
-
-    def __init__(self, client: "Client") -> None:
-        self.client = client
-        self.answer: bytes | None = None
-        self.held: Held | None = None
-        self.relay: Relay | None = None  # a long answer, while it is passed on
-        self.version = client.session.version  # the protocol that was in force when its command was taken
-
-    def fill(self, answer: bytes) -> None:
-        if self.answer is None:
-            self.answer = self.client.keep(self, answer)
-            self.held = None  # each holds the other: guards memory against waiting for the collector
-            self.client.advance()
-
-    def gone(self) -> bool:
-        return self.client.gone()
-
-    def form(self, value: object) -> bytes:
-        from rainhitch.protocol.resp3 import encode
-
-        return encode(value, self.version)
-
-    def stream(self, relay: Relay) -> None:
-        """The answer is a long value, which is passed on as it comes once its turn is there."""
-        if not self.client.has_room(self, PIECE):
-            self.fill(resp.FAILED)
-            relay.leave()
-            return
-        self.relay, self.held = relay, None
-        relay.wake = self.client.advance
-        self.client.advance()
-
-
 class Client(asyncio.Protocol):
     """One connection of a client."""
 
@@ -83,6 +46,8 @@
         self.waiting = 0  # of them, in answers whose turn has not come
         self.spilt = 0  # bytes read while lingering
         self.unread_ms = 0  # ms for which what has come last may have lain unread
+        self.paused = False  # reading is
+        self.resumed_at = 0  # when it last went on, ns
         self.accepted_at = self.accepted_age = 0  # ns: when, and for how long it may have waited for that
         self.stuck: asyncio.TimerHandle | None = None
         self.reason: CloseReason | None = None  # why it ends
@@ -158,8 +123,11 @@
         system does not tell it everywhere; the loop's own delays count there."""
         assert self.transport is not None
         system = self.server.system
-        age = max(system.unread_ms(self.transport) * MILLI, self.server.driver.lag.age())
-        since = system.now() - self.accepted_at
+        now = system.now()
+        # What lay while reading was paused waited for those before it, which does not count.
+        told = min(system.unread_ms(self.transport) * MILLI, now - self.resumed_at)
+        age = max(told, self.server.driver.lag.age())
+        since = now - self.accepted_at
         if self.mute and since < AT_ONCE:
             age = max(age, since + self.accepted_age)  # it came with its connection
         return age
@@ -420,10 +388,7 @@
         if self.transport is None or self.transport.is_closing():
             return
         full = self.last or self.yielding or len(self.slots) >= MOST_PIPELINED
-        if self.blocked or (full and not self.lingering):
-            self.transport.pause_reading()
-        else:
-            self.transport.resume_reading()
+        self._pause(self.blocked or (full and not self.lingering))
         self.server.place(self)
         self._account()
         over = self.server.buffered > self.server.most_buffered
@@ -432,6 +397,16 @@
             self.end("out of memory", CloseReason.OUT_OF_MEMORY)
             self.advance()
 
+    def _pause(self, paused: bool) -> None:
+        assert self.transport is not None
+        if paused:
+            self.transport.pause_reading()
+        else:
+            self.transport.resume_reading()
+            if self.paused:
+                self.resumed_at = self.server.system.now()
+        self.paused = paused
+
     def _account(self) -> None:
         unsent = 0 if self.transport is None else self.transport.get_write_buffer_size()
         held = len(self.frames.buffer) + unsent + self.waiting
--- a/rainhitch/node/listener.py
+++ b/rainhitch/node/listener.py
@@ -26,7 +26,7 @@
         self.resuming: asyncio.Task[None] | None = None
         self.draining = False
         self.pauses = 0
-        self.behind_since = 0  # since when newcomers may have waited in the backlog, ns; 0: none does
+        self.behind_since = 0  # when the last pause began behind which newcomers may still wait, ns; 0: none
 
     async def open(self) -> tuple[str, int]:
         """Begins to accept; gives the address."""
@@ -40,11 +40,11 @@
         """Accepts nobody for so long; does nothing while a pause is on, nor for the last ones to come."""
         if self.resuming is None and self.server is not None and not self.draining:
             self.pauses += 1
-            self.behind_since = self.behind_since or system.of(self.loop).now()
+            self.behind_since = system.of(self.loop).now()
             self.resuming = self.loop.create_task(self._resume(seconds))
 
     def age(self, now: int) -> int:
-        """For how long who is accepted now may have waited in the backlog, for pauses; ns."""
+        """For how long who is accepted now may have waited in the backlog, since the last pause began; ns."""
         if not self.behind_since:
             return 0
         age = now - self.behind_since
--- a/rainhitch/policy/jobs.py
+++ b/rainhitch/policy/jobs.py
@@ -5,8 +5,9 @@
 from rainhitch import interface as api
 
 S = api.Status
-HELD_UP = 100_000_000  # ns kept of a window: a hold-up of 0.15 s less the protocol's slack of 0.05 s,
-HELD_UP_PART = 4  # and one part in so many of a short window at most
+# Kept of a window for a router that is held up (0.15 s, less the protocol's slack of 0.05 s), ns; and of a
+# short window one part in so many at most.
+WINDOW_RESERVE, WINDOW_RESERVE_PART = 100_000_000, 4
 NEVER_RAN = frozenset((S.FULL, S.CONNECT_FAILED, S.MOOT, S.MISS, S.NO_ROOM))
 
 
@@ -58,5 +59,5 @@
 
     def window_end(self) -> int:
         """Until when a repeat may be begun: the router may be held up between this and its write."""
-        reserve = min(HELD_UP, self.spec.window // HELD_UP_PART)
+        reserve = min(WINDOW_RESERVE, self.spec.window // WINDOW_RESERVE_PART)
         return min(sent for _, sent in self.live.values()) + self.spec.window - reserve
--- a/tests/node/test_deadlines.py
+++ b/tests/node/test_deadlines.py
@@ -7,9 +7,9 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
-from peers import Bench, router, soon
+from peers import Bench, hit, router, soon
 
-from rainhitch.node.client import Client
+from rainhitch.node.client import MOST_PIPELINED, Client
 from rainhitch.node.deadlines import (
     HELD_UP,
     MILLI,
@@ -161,3 +161,24 @@
     async with router(keepalive=300 * MILLI) as bench:
         bench.pools.hold_idle(10.0)
         assert bench.pools.idle_most == pytest.approx(0.3 - HELD_UP / 1e9)
+
+
+async def test_what_lay_unread_because_reading_was_paused_is_not_charged_with_it(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A client that sends more at once than may be in work: what comes behind waits for those before it."""
+    async with router(lambda asked, line: None if asked[2] == b"first" else hit()) as bench:
+        raw, client = await newcomer(bench)
+        raw.sendall(command(b"C.GET", b"k", b"first", INFO % 900))
+        await soon(lambda: bench.driver.held)
+        raw.sendall(b"".join(command(b"PING") for _ in range(MOST_PIPELINED)))
+        await soon(lambda: client.paused)
+        raw.sendall(command(b"C.GET", b"k", b"behind", INFO % 900))
+        await asyncio.sleep(0.1)  # it lies unread
+        [line] = bench.cache.lines
+        monkeypatch.setattr(bench.clients.system, "unread_ms", lambda transport: 700)
+        line.write(hit())
+        held = await soon(lambda: bench.driver.held.get("behind") or bench.cache.got[-1][2] == b"behind")
+        told = bench.cache.got[-1][3] if held is True else held.call.info_for(held.call.wait * MILLI)
+        assert int(told.rpartition(b"d=")[2]) > 900 - 100
+        raw.close()
--- a/tests/node/test_growth.py
+++ b/tests/node/test_growth.py
@@ -17,9 +17,10 @@
 
 from rainhitch.node import pool
 from rainhitch.node.call import Call, Exchange
-from rainhitch.node.client import Client, Slot
+from rainhitch.node.client import Client
 from rainhitch.node.driver import Attempt, Held
 from rainhitch.node.pool import Connection, Pool
+from rainhitch.node.slot import Slot
 from rainhitch.policy.jobs import Job
 from rainhitch.policy.servers import Server
 from rainhitch.protocol.resp import command
--- a/tests/node/test_hostile.py
+++ b/tests/node/test_hostile.py
@@ -94,6 +94,7 @@
 async def test_what_the_servers_do_not_use_is_the_clients() -> None:
     """A crowd was turned away at half of the descriptors while a third of them was free."""
     async with router(sockets=2) as bench:
+        bench.clients.idle_s = bench.clients.at_need_s = 3600  # who is idle makes room for nobody
         bench.clients.more = lambda: 4 - bench.pools.open()
         bench.pools.left = lambda: 4 - len(bench.clients.open)
         many = [await bench.caller() for _ in range(4)]
