--- a/rainhitch/fleet/away.py
+++ b/rainhitch/fleet/away.py
@@ -1,12 +1,12 @@
 """Whether this router itself was away: stopped, swapped out, or on a core that others held. No clock of its
 own.
 
-Theory. A process that is stopped does not see it. What it held has aged by the whole stop, its timers come
-all at once, before what waits in its sockets, and what waits there looks as if it had come just now. So time
-is beaten every BEAT at the latest, and an event that comes later than that by more than LATE says that the
-router was away since the last beat. Then nothing is acted on before the sockets have been read once
-(SETTLE): who has left meanwhile is known to have left. And what is found in the first BEAT may be as old as the stop. The clock has
-to be one that goes on while the process stands still (CLOCK_MONOTONIC).
+Theory. A process that is stopped does not see it. What it held has aged by the whole stop, its timers
+come all at once, before what waits in its sockets, and what waits there looks as if it had come just now.
+So time is beaten every BEAT at the latest, and an event that comes later than that by more than LATE says
+that the router was away since the last beat. Then nothing is acted on before the sockets have been read
+once (SETTLE): who has left meanwhile is known to have left. And what is found in the first BEAT may be as
+old as the stop. The clock has to be one that goes on while the process stands still (CLOCK_MONOTONIC).
 """
 
 SECOND = 1_000_000_000
