Review: whole commands are dropped unanswered when client memory is used up

Cause: over the limit of buffered bytes the connection read last loses its whole buffer, complete commands too. Added: the case review/3.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,4 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0: without the disruption.
+cd "$(dirname "$0")" && exec ../../.venv/bin/python play.py
+exit 2
