Answer each whole command when client memory is used up; end who stopped half way

Cause: the memory is held by clients that have stopped within a large write, up to 2.6 s each. Over the limit, ClientConnection._end_if_input_large ended not them but whichever connection had input left when it was looked at, and cleared its buffer with whole commands in it: a turn handles 16 commands, the other 24 (2,424 bytes) waited there. half_close, which rejects buffered commands, then found none.

Change: InputMemory ends clients that have stopped within a large command, longest waiting first, unless they have unread bytes. If that is not enough, the connection read last has its whole commands rejected, one -BUSY each, and stays open unless a large incomplete command is left. Every stop of reading commands (error, time-out, QUIT, shutdown) rejects buffered whole commands in one place, in front of the error. The line "client events" counts them. It works since a whole command leaves the buffer only with its response.

Test: three of the new tests in tests/node/test_client_connection.py fail on the code before ('ERR out of memory' and the end in place of responses). The three on other endings (syntax error, time-out, QUIT) pass there too.

--- a/rainhitch/node/client_commands.py
+++ b/rainhitch/node/client_commands.py
@@ -1,7 +1,7 @@
 """Handles each command of a client: passes it to the router as a request, or answers it at once."""
 
-import contextlib
 import logging
+from itertools import islice
 from typing import Protocol
 
 from rainhitch.node.client_events import ClientEvent, ClientEvents
@@ -62,19 +62,21 @@
         """Appends a response that is ready."""
         self.responses.append(response, self.session.version)
 
-    def reject_buffered_commands(self, reader: Resp2Reader) -> bytes:
-        """Returns -BUSY responses to the commands that were received but not handled.
+    def reject_buffered_commands(self, reader: Resp2Reader, max_commands: int | None = None) -> int:
+        """Appends -BUSY responses to the complete commands that were received but not handled.
 
-        They were received before the connection was closed, so the client expects a response to each of them.
-        None of them has been started, so that the client can safely retry.
+        The client expects a response to each of them. None has been started, so the client can safely retry.
+        Input behind them stays in the reader: an incomplete command, or what is no command. Rejects at most
+        `max_commands`, all if it is None; returns how many.
         """
-        rejections = []
-        with contextlib.suppress(resp.FramingError):
-            while isinstance(parts := reader.next(), list):
-                self.host.count_rejected_command(parts)
-                rejections.append(resp.busy_reply(0))
-        reader.buffer.clear()
-        return b"".join(rejections)
+        rejected = 0
+        for parts in islice(reader.iter_commands(), max_commands):
+            rejected += 1
+            self.host.count_rejected_command(parts)
+            self.host.events.count(ClientEvent.REJECTED_COMMAND)
+        if rejected:
+            self.append_response(resp.busy_reply(0) * rejected)
+        return rejected
 
     def _request(self, parts: list[bytes], unread_ms: int) -> None:
         try:
--- a/rainhitch/node/client_connection.py
+++ b/rainhitch/node/client_connection.py
@@ -23,7 +23,7 @@
 from rainhitch.node.close_reason import CloseReason
 from rainhitch.node.read_flow import MAX_PIPELINED_COMMANDS, ReadFlow
 from rainhitch.node.rejected_connection import RejectedConnection, RejectedConnections
-from rainhitch.node.response_queue import SMALL_RESPONSE_BYTES, BufferLimits, ResponseQueue
+from rainhitch.node.response_queue import BufferLimits, ResponseQueue
 from rainhitch.node.session import Authenticator, Session
 from rainhitch.node.unread_age import UnreadAge
 from rainhitch.protocol import resp
@@ -60,6 +60,13 @@
         """Updates the group of a connection after a change."""
 
 
+class InputMemoryLimiter(Protocol):
+    """Frees memory of received data."""
+
+    def free(self, last_read: "ClientConnection") -> None:
+        """Frees memory, as the limit on buffered bytes is exceeded."""
+
+
 class ClientHost(SocketHost, CommandHost, BufferLimits, Protocol):
     """The parts of the router that a client connection uses."""
 
@@ -68,6 +75,10 @@
     draining: bool
     rejected: RejectedConnections
 
+    @property
+    def input_memory(self) -> InputMemoryLimiter:
+        """What frees memory of received data."""
+
     @property
     def activity(self) -> ActivityObserver:
         """The tracker of what each connection is waiting for."""
@@ -215,7 +226,7 @@
         return handled
 
     def end_with_error(self, problem: str, reason: CloseReason) -> None:
-        """Stops reading; answers the commands in progress, then sends `problem`, then closes."""
+        """Stops reading; answers the commands received, then sends `problem`, then closes."""
         self.record_close_reason(reason)
         self.host.events.count(ClientEvent.ENDED_ON_ERROR)
         self._stop_reading_commands()
@@ -250,9 +261,6 @@
             return
         self.record_close_reason(reason)
         self.state = HALF_CLOSED
-        rejections = self.commands.reject_buffered_commands(self.reader)
-        if rejections:
-            self.transport.write(rejections)
         self.activity.classify(self)
         if self.nothing_received:
             self.transport.close()
@@ -261,25 +269,21 @@
         self.start_lingering()
 
     def _pause_or_resume_reading(self) -> None:
-        """Pauses or resumes reading; ends the connection if buffer memory is exhausted."""
+        """Pauses or resumes reading; frees input memory if buffer memory is exhausted."""
         if self.transport is None or self.transport.is_closing():
             return
         self.flow.pause_or_resume(self.transport, self.state is LAST_COMMAND_READ, self.state is HALF_CLOSED)
         self.activity.classify(self)
         self.flow.update_buffered_bytes(self.transport)
         if self.host.buffered_bytes > self.host.max_buffered_bytes:
-            self._end_if_input_large()
-
-    def _end_if_input_large(self) -> None:
-        """Ends the connection to free memory if it holds more than a small amount of unparsed input."""
-        if len(self.reader.buffer) > SMALL_RESPONSE_BYTES and self.state is CONNECTION_OPEN:
-            self.reader.buffer.clear()
-            self.end_with_error("out of memory", CloseReason.OUT_OF_MEMORY)
-            self.advance()
+            self.host.input_memory.free(self)
 
     def _stop_reading_commands(self) -> None:
+        """Stops handling commands; those that were received completely are rejected."""
         if self.state is CONNECTION_OPEN:
             self.state = LAST_COMMAND_READ
+            self.commands.reject_buffered_commands(self.reader)
+            self.reader.buffer.clear()
 
     def update_buffered_bytes(self) -> None:
         """Updates the number of bytes counted as buffered for this connection."""
--- a/rainhitch/node/client_connections.py
+++ b/rainhitch/node/client_connections.py
@@ -15,6 +15,7 @@
 from rainhitch.node.client_events import ClientEvent, ClientEvents
 from rainhitch.node.client_request import ClientRequestError, parse_client_request
 from rainhitch.node.close_reason import CloseReason
+from rainhitch.node.input_memory import InputMemory
 from rainhitch.node.listener import Listener
 from rainhitch.node.rejected_connection import RejectedConnections
 from rainhitch.node.request_driver import RequestDriver
@@ -60,6 +61,7 @@
         self.system = system.of(self.loop)
         self.connections: dict[ClientConnection, None] = {}  # in the order in which they were accepted
         self.activity = ClientActivity(self.loop)
+        self.input_memory = InputMemory(self, self.activity)
         self.idle_grace_s = IDLE_GRACE_S
         self.idle_grace_near_cap_s = IDLE_GRACE_NEAR_CAP_S
         self.unfinished_command_limit_s = UNFINISHED_COMMAND_LIMIT_S
--- a/rainhitch/node/client_events.py
+++ b/rainhitch/node/client_events.py
@@ -16,6 +16,7 @@
     CLOSED_IDLE = "closed_idle"
     ENDED_ON_ERROR = "ended_on_error"
     REJECTED = "rejected"
+    REJECTED_COMMAND = "rejected_commands"
 
 
 class ClientEvents:
--- a/rainhitch/node/response_queue.py
+++ b/rainhitch/node/response_queue.py
@@ -79,6 +79,8 @@
         slot = ResponseSlot(self, version)
         slot.response = response
         self.slots.append(slot)
+        if len(response) > SMALL_RESPONSE_BYTES:
+            self.waiting_bytes += len(response)
 
     def hold(self, slot: ResponseSlot, response: bytes) -> bytes:
         """Returns the response to hold until it can be written; an error if there is no memory for it."""
--- a/rainhitch/protocol/resp2_reader.py
+++ b/rainhitch/protocol/resp2_reader.py
@@ -3,6 +3,9 @@
 The rehearsal kit's fakes and clients share nothing of this module.
 """
 
+import contextlib
+from collections.abc import Iterator
+
 import hiredis
 
 from rainhitch.protocol.errors import FramingError
@@ -93,6 +96,12 @@
         self._parser.feed(message)
         return self._parser.gets()
 
+    def iter_commands(self) -> Iterator[list[bytes]]:
+        """Yields the whole commands in the buffer up to an incomplete command or a framing error."""
+        with contextlib.suppress(FramingError):
+            while isinstance(parts := self.next(), list):
+                yield parts
+
     def read_long_value(self) -> bytes:
         """Returns what has come of a long value and was not returned yet."""
         piece = bytes(self.buffer[: self.long_value_bytes_left])
--- a/tests/node/test_client_connection.py
+++ b/tests/node/test_client_connection.py
@@ -1,13 +1,21 @@
 """One client connection over loopback sockets: fairness, memory limits, and data after the last response."""
 
+import asyncio
+from functools import partial
+
 import pytest
-from peers import hit, router, wait_until
+from peers import Bench, Caller, hit, router, wait_until
 
 from rainhitch.node import client_connection as client_module
-from rainhitch.node import client_socket
+from rainhitch.node import client_connections, client_socket
 from rainhitch.node.client_connection import ClientConnection
+from rainhitch.node.client_events import ClientEvent
+from rainhitch.node.close_reason import CloseReason
 from rainhitch.protocol import resp
 
+INCOMPLETE_WRITE = b"*5\r\n$5\r\nC.SET\r\n$1\r\nk\r\n$1\r\ni\r\n$5\r\nc=put\r\n$65536\r\n" + bytes(65_500)
+HANDLED = {"b'v'", "BUSY"}  # responses to a read that was handled: served, or rejected by a decision
+
 
 async def test_what_is_read_after_the_last_answer_is_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
     """A client that kept sending after its last response must not be read without limit.
@@ -81,3 +89,108 @@
         caller = await bench.caller()
         caller.writer.write(b"*0\r\n")
         assert str(await caller.answer()).startswith("ERR ")
+
+
+def reads(count: int, name_bytes: int = 0) -> bytes:
+    """Encodes reads with ids of their own, each id of `name_bytes` at least."""
+    ids = [(b"%d" % number).rjust(name_bytes, b"i") for number in range(count)]
+    return b"".join(resp.command(b"C.GET", b"k", one, b"c=read,t=acme,d=9000") for one in ids)
+
+
+def holds(bench: Bench, size_bytes: int) -> bool:
+    """Returns whether the router counts this many bytes as buffered for clients."""
+    return bench.clients.buffered_bytes == size_bytes
+
+
+async def read_all(caller: Caller) -> list[str]:
+    """Returns the answers up to the close of the connection, as text."""
+    answers = []
+    while (answer := await caller.answer()) is not None:
+        answers.append(str(answer))
+    return answers
+
+
+async def test_commands_sent_at_once_are_served_while_stopped_clients_hold_the_memory() -> None:
+    """Whole commands sent at once were dropped with no response while others used up the buffer memory.
+
+    Clients that stopped within a large command held the memory. The client that was read next lost what it
+    had sent behind its first 16 commands, and its connection. Clients that have stopped must be ended.
+    """
+    async with router(memory=200_000) as bench:
+        stopped = [await bench.caller() for _ in range(3)]
+        for number, caller in enumerate(stopped, 1):
+            caller.writer.write(INCOMPLETE_WRITE)
+            held_bytes = number * len(INCOMPLETE_WRITE)
+            await wait_until(partial(holds, bench, held_bytes))
+        usual = await bench.caller()
+        usual.writer.write(reads(200))
+        assert {str(await usual.answer()) for _ in range(200)} <= HANDLED
+        assert not bench.clients.events.counts[ClientEvent.REJECTED_COMMAND]
+        await usual.answer_to_ping()
+        assert await read_all(stopped[0]) == ["ERR out of memory"]
+        await wait_until(partial(holds, bench, 2 * len(INCOMPLETE_WRITE)))
+        stopped[0].writer.close()
+        await wait_until(lambda: bench.driver.counts.counters.get("closed") == {CloseReason.OUT_OF_MEMORY: 1})
+
+
+async def fill_memory(bench: Bench, large_responses: int) -> None:
+    """Makes the router hold large responses behind one that does not come, so that no client can be ended."""
+    caller = await bench.caller()
+    caller.get(name=b"slow")
+    for number in range(large_responses):
+        caller.get(name=b"large%d" % number)
+    await wait_until(lambda: len(bench.cache.received) == 1 + large_responses)
+    await wait_until(lambda: len(bench.driver.requests) == 1)
+
+
+def answer_by_name(asked: list[bytes], line: asyncio.StreamWriter) -> bytes | None:
+    """Answers a read by the name of its id."""
+    if asked[2] == b"slow":
+        return None
+    return hit(bytes(60_000) if asked[2].startswith(b"large") else b"v")
+
+
+@pytest.mark.parametrize(("tail", "ending"), [(b"", []), (INCOMPLETE_WRITE, ["ERR out of memory"])])
+async def test_whole_commands_are_rejected_one_by_one_if_no_memory_can_be_freed(
+    tail: bytes, ending: list[str]
+) -> None:
+    """Whole commands sent at once were dropped with no response if memory was used up by responses.
+
+    Each must be rejected, and the connection stays open unless an incomplete command takes memory too.
+    """
+    async with router(answer_by_name, memory=200_000) as bench:
+        await fill_memory(bench, 3)
+        usual = await bench.caller()
+        usual.writer.write(reads(200, 250) + tail)
+        started = client_module.MAX_COMMANDS_PER_TURN
+        for _ in range(started):
+            assert str(await usual.answer()) in HANDLED
+        for _ in range(200 - started):
+            assert str(await usual.answer()) == "BUSY"
+        if ending:
+            assert await read_all(usual) == ending
+        else:
+            await usual.answer_to_ping()
+        assert bench.clients.events.counts[ClientEvent.REJECTED_COMMAND] == 200 - started
+
+
+@pytest.mark.parametrize(
+    ("tail", "ending"),
+    [
+        (b"noise\r\n", ["ERR Protocol error: expected an array of bulk strings"]),
+        (INCOMPLETE_WRITE, ["ERR no whole command in time"]),
+        (resp.command(b"QUIT") + reads(3), ["b'OK'", "BUSY", "BUSY", "BUSY"]),
+    ],
+    ids=["framing error", "time-out", "quit"],
+)
+async def test_each_command_has_one_response_whatever_ends_the_connection(
+    monkeypatch: pytest.MonkeyPatch, tail: bytes, ending: list[str]
+) -> None:
+    """A close must neither drop whole commands that were received nor answer one of them twice."""
+    monkeypatch.setattr(client_connections, "UNFINISHED_COMMAND_LIMIT_S", 0.3)
+    async with router() as bench:
+        caller = await bench.caller()
+        caller.writer.write(reads(100) + tail)
+        answers = await read_all(caller)
+        assert set(answers[:100]) <= HANDLED
+        assert answers[100:] == ending
