A command that is too large gets one response, not an error and a -BUSY

What callers saw: a command of five parts of 64 KiB got "-ERR Protocol error: too large" and -BUSY behind it: two final answers for one request.

Cause: Resp2Reader.next raised once the message was measured as too large, but kept it; asked again with no part missing, as when the connection's buffered commands are rejected, it returned the message as a whole command.

Change: the size is checked whenever a message is about to be returned, so that the error stays, as those of the other framing errors do.

--- a/rainhitch/protocol/resp2_reader.py
+++ b/rainhitch/protocol/resp2_reader.py
@@ -82,11 +82,11 @@
             parts = self._read_simple()
             if parts:
                 return parts
-        while self._missing_values:
+        while self._missing_values and self._measured_bytes <= MAX_RESP2_MESSAGE_BYTES:
             if not self._measure_value():
                 return LongValue(self.long_value_bytes_left) if self.long_value_bytes_left else NEED_DATA
-            if self._measured_bytes > MAX_RESP2_MESSAGE_BYTES:
-                raise FramingError("too large")
+        if self._measured_bytes > MAX_RESP2_MESSAGE_BYTES:
+            raise FramingError("too large")
         message = bytes(self.buffer[: self._measured_bytes])
         del self.buffer[: self._measured_bytes]
         self._measured_bytes = 0
--- a/tests/node/test_client_connection.py
+++ b/tests/node/test_client_connection.py
@@ -14,6 +14,7 @@
 from rainhitch.protocol import resp
 
 INCOMPLETE_WRITE = b"*5\r\n$5\r\nC.SET\r\n$1\r\nk\r\n$1\r\ni\r\n$5\r\nc=put\r\n$65536\r\n" + bytes(65_500)
+TOO_LARGE_COMMAND = resp.command(*[bytes(64 << 10)] * 5)  # each part may be so large, the whole may not
 HANDLED = {"b'v'", "BUSY"}  # responses to a read that was handled: served, or rejected by a decision
 
 
@@ -177,11 +178,12 @@
 @pytest.mark.parametrize(
     ("tail", "ending"),
     [
+        (TOO_LARGE_COMMAND, ["ERR Protocol error: too large"]),
         (b"noise\r\n", ["ERR Protocol error: expected an array of bulk strings"]),
         (INCOMPLETE_WRITE, ["ERR no whole command in time"]),
         (resp.command(b"QUIT") + reads(3), ["b'OK'", "BUSY", "BUSY", "BUSY"]),
     ],
-    ids=["framing error", "time-out", "quit"],
+    ids=["too large", "framing error", "time-out", "quit"],
 )
 async def test_each_command_has_one_response_whatever_ends_the_connection(
     monkeypatch: pytest.MonkeyPatch, tail: bytes, ending: list[str]
