A close that makes room for a newcomer no longer cuts off a response that is not sent

What callers saw: a slow reader lost the end of its response.

Cause: ClientConnections._evict_connection aborted the connection that had lingered longest, whether or not all was sent.

Test: tests/node/test_client_connections.py, test_a_response_that_is_not_sent_yet_is_not_lost_to_make_room; without the change the response breaks off.

--- a/rainhitch/node/client_connections.py
+++ b/rainhitch/node/client_connections.py
@@ -142,11 +142,15 @@
 
         Closes the longest lingering one, else the one that has sent no command or been idle longest, else an
         idle server connection. Clients that stay connected after one request do not keep others out. No
-        request is lost: no client connection with a request in progress or unread bytes is closed.
+        request is lost: no client connection with a request in progress, unread bytes or a response that is
+        not sent is closed.
         """
-        for client in self.activity.lingering:
-            client.abort(CloseReason.LINGERED)
-            self.connection_lost(client)
+        lingering = next(
+            (client for client in self.activity.lingering if not client.has_unsent_bytes()), None
+        )
+        if lingering is not None:
+            lingering.abort(CloseReason.LINGERED)
+            self.connection_lost(lingering)
             return True
         if self._close_longest_unused(self.activity.awaiting_command, self.idle_grace_s) is not None:
             return True
--- a/rainhitch/node/client_socket.py
+++ b/rainhitch/node/client_socket.py
@@ -57,6 +57,10 @@
         """Returns whether bytes, or the end of the stream, are waiting in the socket."""
         return self.transport is not None and self.system.readable(self.transport)
 
+    def has_unsent_bytes(self) -> bool:
+        """Returns whether written bytes wait for the client to read; an abort would lose them."""
+        return self.transport is not None and self.transport.get_write_buffer_size() > 0
+
     def start_lingering(self) -> None:
         """Half closes the connection and allows the client a limited time to close its side."""
         assert self.transport is not None
--- a/tests/node/test_client_connections.py
+++ b/tests/node/test_client_connections.py
@@ -1,12 +1,14 @@
 """Admission of clients and the closing of connections to make room, over loopback sockets."""
 
 import asyncio
+import socket
 
 import pytest
-from peers import hit, router, wait_until
+from peers import PATIENCE, hit, router, wait_until
 
 from rainhitch.node import client_connections, connection_pool
 from rainhitch.node.client_connection import ClientConnection
+from rainhitch.node.close_reason import CloseReason
 from rainhitch.protocol import resp
 
 INFO = b"c=read,t=acme,d=9000"
@@ -155,3 +157,30 @@
         assert raw is not None and client.has_unread_bytes()
         assert not bench.clients.admit(ClientConnection(bench.clients))
         assert await caller.answer() == b"v"
+
+
+async def test_a_response_that_is_not_sent_yet_is_not_lost_to_make_room(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A slow reader lost the rest of its response: at the cap its half-closed connection was aborted."""
+    value = b"x" * 60_000
+    async with router(lambda asked, line: hit(value), sockets=1) as bench:
+        monkeypatch.setattr(bench.clients, "idle_grace_s", 3600.0)
+        monkeypatch.setattr(bench.clients, "idle_grace_near_cap_s", 3600.0)
+        slow = socket.socket()
+        slow.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        slow.connect(("127.0.0.1", bench.port))
+        slow.settimeout(PATIENCE)
+        [client] = await wait_until(lambda: list(bench.clients.connections))
+        assert client.transport is not None
+        client.transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        slow.sendall(resp.command(b"C.GET", b"k", b"i1", b"c=read,t=acme,d=9000"))
+        await wait_until(lambda: client.transport and client.transport.get_write_buffer_size())
+        client.half_close(CloseReason.IDLE)
+        late = await bench.caller()
+        received = b""
+        while piece := await asyncio.to_thread(slow.recv, 65536):
+            received += piece
+        assert received == b"$60000\r\n" + value + b"\r\n"
+        assert str(await late.answer()) == "BUSY"
+        slow.close()
