Drain of client connections in a module of its own; one place for the idle time at the cap

Change: node/client_drain.py takes the drain as it was, ClientActivity.longest_lingering the choice of whom to abort, _close_longest_idle its own time. Behaviour unchanged.

--- a/rainhitch/node/client_activity.py
+++ b/rainhitch/node/client_activity.py
@@ -56,6 +56,10 @@
             if not client.responses.slots and not client.reader.buffer and not client.has_unread_bytes():
                 yield client
 
+    def longest_lingering(self) -> ClientConnection | None:
+        """Returns the connection that has lingered longest of those whose responses are all sent, or None."""
+        return next((client for client in self.lingering if not client.has_unsent_bytes()), None)
+
     def overdue(self, for_s: float) -> list[ClientConnection]:
         """Returns the connections that have waited for a complete command for more than `for_s` seconds."""
         now_s = self.loop.time()
--- a/rainhitch/node/client_connection.py
+++ b/rainhitch/node/client_connection.py
@@ -72,9 +72,12 @@
 
     authenticator: Authenticator
     can_serve: Callable[[], bool]
-    draining: bool
     rejected: RejectedConnections
 
+    @property
+    def draining(self) -> bool:
+        """Whether the connections are being drained."""
+
     @property
     def input_memory(self) -> InputMemoryLimiter:
         """What frees memory of received data."""
--- a/rainhitch/node/client_connections.py
+++ b/rainhitch/node/client_connections.py
@@ -1,8 +1,4 @@
-"""Accepts client connections, closes idle ones to make room for new ones, and drains them.
-
-Drain: each connection is half closed after its next response, idle ones after DRAIN_IDLE_S, and all others
-according to the shutdown schedule. New connections are admitted until the router closes its listener.
-"""
+"""Accepts client connections and closes idle ones to make room for new ones."""
 
 import asyncio
 import contextlib
@@ -11,7 +7,8 @@
 
 from rainhitch import system
 from rainhitch.node.client_activity import ClientActivity
-from rainhitch.node.client_connection import ClientConnection, ConnectionState
+from rainhitch.node.client_connection import ClientConnection
+from rainhitch.node.client_drain import ClientDrain
 from rainhitch.node.client_events import ClientEvent, ClientEvents
 from rainhitch.node.client_request import ClientRequestError, parse_client_request
 from rainhitch.node.close_reason import CloseReason
@@ -20,7 +17,6 @@
 from rainhitch.node.rejected_connection import RejectedConnections
 from rainhitch.node.request_driver import RequestDriver
 from rainhitch.node.session import NO_PASSWORD_NEEDED
-from rainhitch.node.shutdown import MAX_DEADLINE_WAIT_S, shutdown_schedule
 from rainhitch.settings import Names
 
 if TYPE_CHECKING:
@@ -30,9 +26,7 @@
 UNFINISHED_COMMAND_LIMIT_S = 2.6  # time limit on an incomplete command; the first is timed from connect
 IDLE_GRACE_S = 2.0  # minimum idle time before the sweep closes a connection
 IDLE_GRACE_NEAR_CAP_S = 0.025  # minimum idle time before a connection is closed for a new one
-DRAIN_IDLE_S = 0.05  # time without a request after which a draining connection counts as idle
 SWEEP_INTERVAL_S = 0.2
-DRAIN_INTERVAL_S = SWEEP_INTERVAL_S / 2
 NS_PER_MS = 1_000_000
 NS_PER_S = 1_000_000_000
 
@@ -62,6 +56,7 @@
         self.connections: dict[ClientConnection, None] = {}  # in the order in which they were accepted
         self.activity = ClientActivity(self.loop)
         self.input_memory = InputMemory(self, self.activity)
+        self.client_drain = ClientDrain(self.loop, self.connections, self.activity, self._half_close_idle)
         self.idle_grace_s = IDLE_GRACE_S
         self.idle_grace_near_cap_s = IDLE_GRACE_NEAR_CAP_S
         self.unfinished_command_limit_s = UNFINISHED_COMMAND_LIMIT_S
@@ -70,10 +65,7 @@
         self.last_connection_id = 0
         self.buffered_bytes = 0  # total bytes that clients have not finished sending or reading
         self.closing = False
-        self.draining = False
         self.sweep_scheduled = False
-        self.schedule = shutdown_schedule(MAX_DEADLINE_WAIT_S)  # a shutdown replaces it from the settings
-        self.drain_started_at_s = 0.0
         self.events = ClientEvents(self.loop)
         self.rejected = RejectedConnections(
             self.loop, self.system, self.events, self._retry_after_ns, self.count_rejected_command
@@ -95,10 +87,10 @@
         elif len(self.connections) > self.max_open // 2:
             # Clients that keep all their connections may run out of their own long before the router's cap is
             # reached. The protocol allows closing between requests: one idle one is closed per new one.
-            closed = self._close_longest_idle(min(self.idle_grace_s, self.idle_grace_near_cap_s))
+            closed = self._close_longest_idle()
             if closed is not None and closed.command_count == 1:
                 # Clients that stay after one request reconnect when closed: closing two reduces their number.
-                self._close_longest_idle(min(self.idle_grace_s, self.idle_grace_near_cap_s))
+                self._close_longest_idle()
         self.connections[client] = None
         self.descriptors.clients_open = len(self.connections)
         self.activity.connected(client)
@@ -145,21 +137,20 @@
         request is lost: no client connection with a request in progress, unread bytes or a response that is
         not sent is closed.
         """
-        lingering = next(
-            (client for client in self.activity.lingering if not client.has_unsent_bytes()), None
-        )
+        lingering = self.activity.longest_lingering()
         if lingering is not None:
             lingering.abort(CloseReason.LINGERED)
             self.connection_lost(lingering)
             return True
         if self._close_longest_unused(self.activity.awaiting_command, self.idle_grace_s) is not None:
             return True
-        if self._close_longest_idle(min(self.idle_grace_s, self.idle_grace_near_cap_s)) is not None:
+        if self._close_longest_idle() is not None:
             return True
         return self.descriptors.shared is not None and self.driver.pools.close_surplus()
 
-    def _close_longest_idle(self, for_s: float) -> ClientConnection | None:
-        return self._close_longest_unused(self.activity.idle, for_s)
+    def _close_longest_idle(self) -> ClientConnection | None:
+        idle_s = min(self.idle_grace_s, self.idle_grace_near_cap_s)
+        return self._close_longest_unused(self.activity.idle, idle_s)
 
     def _close_longest_unused(
         self, group: dict[ClientConnection, float], for_s: float
@@ -199,34 +190,18 @@
         if self.closing and not self.connections:
             self._all_closed.set()
 
-    def drain(self) -> None:
-        """Drains the connections as the module's docstring says, so that no close collides with a request.
+    @property
+    def draining(self) -> bool:
+        """Whether the connections are being drained."""
+        return self.client_drain.is_active
 
-        While the schedule allows, closes directly after a response, when the client has no request in flight.
-        """
-        if not self.draining:
-            self.draining = True
-            self.drain_started_at_s = self.loop.time()
-            self.loop.call_later(DRAIN_INTERVAL_S, self._drain_step, self.drain_started_at_s)
+    def drain(self) -> None:
+        """Drains the connections; new ones are admitted until the router closes its listener."""
+        self.client_drain.start()
 
     def cancel_drain(self) -> None:
         """Cancels a drain: connections stay open again."""
-        self.draining = False
-
-    def _drain_step(self, started_at_s: float) -> None:
-        if not self.draining or self.drain_started_at_s != started_at_s:
-            return
-        elapsed_s = self.loop.time() - started_at_s
-        if elapsed_s >= self.schedule.close_idle_s:
-            for group in (self.activity.awaiting_command, self.activity.idle):
-                for client in list(self.activity.iter_unused(group, DRAIN_IDLE_S)):
-                    self._half_close_idle(client)
-        if elapsed_s >= self.schedule.stop_reading_s:
-            is_late = elapsed_s >= self.schedule.all_answered_s  # until then, commands may be completed
-            still_open = [client for client in self.connections if client.state is ConnectionState.OPEN]
-            for client in [client for client in still_open if client.responses.slots or is_late]:
-                client.close_when_answered()
-        self.loop.call_later(DRAIN_INTERVAL_S, self._drain_step, started_at_s)
+        self.client_drain.cancel()
 
     def close(self) -> None:
         """Stops listening and drains the connections."""
--- a/rainhitch/node/router.py
+++ b/rainhitch/node/router.py
@@ -240,7 +240,7 @@
         schedule = shutdown_schedule(
             max(request_class.deadline_ns for request_class in self.configuration.settings.classes) / NS_PER_S
         )
-        self.clients.schedule = schedule
+        self.clients.client_drain.schedule = schedule
         self.driver.stop(schedule.all_answered_s)
         self.clients.drain()
         if self.admin is not None:
--- a/tests/admin/test_endpoint.py
+++ b/tests/admin/test_endpoint.py
@@ -144,7 +144,8 @@
 
 async def test_a_client_that_pipelines_without_end_is_drained_in_time() -> None:
     async with router() as bench, attended(bench) as address:
-        bench.clients.schedule = replace(bench.clients.schedule, close_idle_s=0.1, stop_reading_s=0.2)
+        drain = bench.clients.client_drain
+        drain.schedule = replace(drain.schedule, close_idle_s=0.1, stop_reading_s=0.2)
         caller = await bench.caller()
         assert (await call(address, b"quiesce"))[0].startswith("OK")
 
--- a/tests/node/test_races.py
+++ b/tests/node/test_races.py
@@ -601,7 +601,7 @@
     await service.start()
     ending = asyncio.ensure_future(service.stop())
     await asyncio.sleep(0)
-    times = service.clients.schedule
+    times = service.clients.client_drain.schedule
     assert times == shutdown_schedule(0.4) and times.exit_s < times.kill_s == pytest.approx(1.1)
     assert 0 < service.driver.reserve.respond_by_ns - service.driver.clock.now() <= times.all_answered_s * 1e9
     await ending
@@ -624,7 +624,9 @@
     def late(client: Any, data: bytes) -> None:
         backlogged.append(socket.create_connection(address))
         backlogged[0].sendall(command(b"PING"))
-        time.sleep(service.clients.schedule.stop_accepting_s)  # until the listener is due to close
+        time.sleep(
+            service.clients.client_drain.schedule.stop_accepting_s
+        )  # until the listener is due to close
 
     monkeypatch.setattr(client_module.ClientConnection, "data_received", late)
     first = socket.create_connection(address)
