Explore: what a search draws depends on its seed alone, not on the machine's load

Change: results are recorded in the order of drawing; a case is drawn once all results up to 32 before it are recorded, and none after these. When the time is up, the cases still running are left, not run again one by one.

The new test (jobs 1, 4, 10; random delays) compares the cases drawn and the findings.

--- a/rainhitch/rehearsal/explore/explorer.py
+++ b/rainhitch/rehearsal/explore/explorer.py
@@ -1,5 +1,8 @@
 """The fuzzer: runs test cases in many processes, mutates those with new coverage, shrinks failures.
 
+What is drawn depends on the seed alone: results are recorded in the order in which their cases were drawn,
+and a case is drawn once all results up to RESULT_LAG cases before it are recorded, and none after these.
+
 A worker process that hangs is stopped by its own alarm, one that leaks memory by its own limit. One that
 dies all the same breaks the whole pool: the cases that were running are run again one by one, and the one
 that kills its process once more is a failure.
@@ -16,7 +19,7 @@
 from dataclasses import dataclass, field
 from random import Random
 from types import FrameType
-from typing import Any
+from typing import Any, NamedTuple
 
 from rainhitch.rehearsal.explore.case_runner import (
     CaseResult,
@@ -37,6 +40,9 @@
 MAX_SHRINK_RUNS = 120
 MAX_SHRUNK_PER_KIND = 3  # failures of a kind that are shrunk; more tell nothing new
 QUEUED_CASES_PER_JOB = 2
+RESULT_LAG = (
+    32  # cases drawn without knowing a result; bounds how many run at once, however many jobs there are
+)
 POLL_S = 0.5
 MAX_SEED = 1 << 31
 
@@ -111,6 +117,13 @@
         process.kill()
 
 
+class NumberedCase(NamedTuple):
+    """A case and its place in the order of drawing, from 0."""
+
+    number: int
+    case: FuzzCase
+
+
 class Explorer:
     """One search.
 
@@ -144,7 +157,10 @@
         self.cases_to_mutate = list(initial_cases)  # the initial ones, and those with new coverage
         self.not_yet_run = list(initial_cases)
         self.stopped = False
-        self.running: dict[Future[CaseResult], FuzzCase] = {}
+        self.drawn = 0  # cases drawn so far; their order numbers them
+        self.running: dict[Future[CaseResult], NumberedCase] = {}
+        self.finished: dict[int, CaseResult] = {}  # results that are not recorded yet, by number
+        self.unshrinkable: set[int] = set()  # numbers of cases that ran alone after a process had died
 
     def next_case(self) -> FuzzCase:
         """An initial case, a mutation of a case with new coverage, or a new case."""
@@ -187,28 +203,29 @@
                 self._run_pool(pool, max_runs, max_s)
             except BrokenProcessPool:
                 self.progress.died += 1
+                kill_pool(pool)
+                for numbered in self.running.values():
+                    self._run_alone(context, numbered)
+                self.running = {}
             finally:
                 kill_pool(pool)
-            for case in self.running.values():
-                self._run_alone(context, case)
-            self.running = {}
         return self.progress
 
-    def _run_alone(self, context: Any, case: FuzzCase) -> None:
+    def _run_alone(self, context: Any, numbered: NumberedCase) -> None:
         """Runs a case that was running when a process died, to see whether it was the cause.
 
         A failure of it is given unshrunk: each run of a shrinking could kill a process again.
         """
         pool = ProcessPoolExecutor(1, context, prepare_worker)
         try:
-            result = pool.submit(run_case_in_time, case).result()
+            result = pool.submit(run_case_in_time, numbered.case).result()
         except BrokenProcessPool:
-            result = CaseResult(case)
+            result = CaseResult(numbered.case)
             result.add_failure("died", "the process that played it died")
         finally:
             kill_pool(pool)
-        if self.record(result):
-            self.on_failure(result)
+        self.finished[numbered.number] = result
+        self.unshrinkable.add(numbered.number)
 
     def _is_over(self, max_runs: int, max_s: float) -> bool:
         time_is_up = bool(max_s) and self.progress.elapsed_s >= max_s
@@ -218,36 +235,51 @@
     def _run_pool(self, pool: ProcessPoolExecutor, max_runs: int, max_s: float) -> None:
         """Keeps a pool busy until the search is over and what is being shrunk is done."""
         shrinking: set[Future[CaseResult]] = set()
-        submitted = self.progress.runs
         while True:
             over = self._is_over(max_runs, max_s)
-            while not over and self._has_room() and (not max_runs or submitted < max_runs):
-                case = self.next_case()
-                self.running[pool.submit(run_case_in_time, case)] = case
-                submitted += 1
-            if (over or not self.running) and not shrinking:
-                return
+            while not over and self._has_room() and (not max_runs or self.drawn < max_runs):
+                self._record_finished(pool, shrinking, self.drawn - RESULT_LAG + 1)
+                if self.drawn - self.progress.runs >= RESULT_LAG:
+                    break
+                numbered = NumberedCase(self.drawn, self.next_case())
+                self.drawn += 1
+                self.running[pool.submit(run_case_in_time, numbered.case)] = numbered
+            if over or not self.running:
+                self._record_finished(pool, shrinking, self.drawn)
+                if not shrinking:
+                    return
             done, _ = wait({*self.running, *shrinking}, timeout=POLL_S, return_when=FIRST_COMPLETED)
             for future in done:
-                self._handle_result(pool, future, shrinking)
+                self._handle_result(future, shrinking)
             self.on_progress(self.progress)
 
     def _has_room(self) -> bool:
         return len(self.running) < QUEUED_CASES_PER_JOB * self.jobs
 
-    def _handle_result(
-        self, pool: ProcessPoolExecutor, future: "Future[CaseResult]", shrinking: "set[Future[CaseResult]]"
-    ) -> None:
+    def _handle_result(self, future: "Future[CaseResult]", shrinking: "set[Future[CaseResult]]") -> None:
         """Takes the result of a run or of a shrinking; a dead worker raises BrokenProcessPool."""
         result = future.result()
         if future in shrinking:
+            shrinking.discard(future)
             self.on_failure(result)
-        elif self.record(result) and self.shrinks:
-            shrinking.add(pool.submit(shrink_failure, result))
-        elif result.failure_kinds and not self.shrinks:
-            self.on_failure(result)
-        self.running.pop(future, None)
-        shrinking.discard(future)
+        else:
+            self.finished[self.running.pop(future).number] = result
+
+    def _record_finished(
+        self, pool: ProcessPoolExecutor, shrinking: "set[Future[CaseResult]]", end: int
+    ) -> None:
+        """Records results in the order of drawing, of numbers below `end`, up to one that is not finished."""
+        while self.progress.runs < end and self.progress.runs in self.finished:
+            number = self.progress.runs
+            result = self.finished.pop(number)
+            worth_shrinking = self.record(result)
+            if number in self.unshrinkable:
+                if worth_shrinking:
+                    self.on_failure(result)
+            elif worth_shrinking and self.shrinks:
+                shrinking.add(pool.submit(shrink_failure, result))
+            elif result.failure_kinds and not self.shrinks:
+                self.on_failure(result)
 
     def stop(self) -> None:
         """Ends the search in good order: what is being shrunk is finished."""
--- a/tests/virtual/test_explore.py
+++ b/tests/virtual/test_explore.py
@@ -4,13 +4,15 @@
 import subprocess
 import sys
 import time
+from concurrent.futures import ThreadPoolExecutor
+from functools import partial
 from pathlib import Path
 from random import Random
 from typing import Any
 
 import pytest
 
-from rainhitch.rehearsal.explore import corpus
+from rainhitch.rehearsal.explore import corpus, explorer
 from rainhitch.rehearsal.explore.case_runner import CaseResult, FuzzCase, fuzz_case, run_case
 from rainhitch.rehearsal.explore.explorer import Explorer
 from rainhitch.rehearsal.explore.grammar import generate_scenario, mutate_scenario, parse_scenario
@@ -157,6 +159,40 @@
     )
 
 
+def result_after_delay(delays: Random, case: FuzzCase) -> CaseResult:
+    """Takes the place of a run: its coverage and failure follow from the case, its time does not."""
+    time.sleep(delays.random() * 0.004)
+    result = CaseResult(case, coverage=frozenset({f"state {case.seed % 40}"}))
+    if case.seed % 50 == 0:
+        result.add_failure("late", f"seed {case.seed}")
+    return result
+
+
+def test_what_a_search_draws_depends_on_its_seed_alone(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The same seed drew other cases beside load, so that one commit passed and failed the test below.
+
+    Cases were drawn by what had finished by then, in the order in which it finished.
+    """
+    lists = []
+    for job_count, delay_seed in ((1, 1), (4, 2), (10, 3), (10, 4)):
+        monkeypatch.setattr(explorer, "run_case_in_time", partial(result_after_delay, Random(delay_seed)))
+        found: list[CaseResult] = []
+        search = Explorer(7, job_count, [], found.append, shrinks=False)
+        drawn: list[FuzzCase] = []
+        monkeypatch.setattr(search, "next_case", partial(draw_and_note, search, drawn))
+        with ThreadPoolExecutor(job_count) as pool:
+            search._run_pool(pool, 200, 0)  # type: ignore[arg-type]
+        assert search.progress.runs == len(drawn) == 200 and not search.running and not search.finished
+        lists.append((drawn, [result.case for result in found], search.progress.failure_counts))
+    assert all(one == lists[0] for one in lists) and lists[0][1]
+
+
+def draw_and_note(search: Explorer, drawn: list[FuzzCase]) -> FuzzCase:
+    """Draws a case and appends it to `drawn`."""
+    drawn.append(Explorer.next_case(search))
+    return drawn[-1]
+
+
 def test_a_search_of_sixty_runs_finds_no_failure(tmp_path: Path) -> None:
     done = run_explore("--days", 60, "--seed", 5, "--keep", tmp_path / "found")
     assert done.returncode == 0, done.stdout + done.stderr
