--- a/review/standins2/parts.py
+++ b/review/standins2/parts.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import json
 import os
 import shutil
@@ -29,6 +30,7 @@
 KEY_COUNT = 200
 INHERITED_FD = 5  # of the clients' listening socket, where the platform holds it
 HELD, BROKEN, NOT_RUN = 0, 1, 2
+SEEDS = itertools.count(0x8C1F30D27A5BE964)  # for the routers, a new one with each start
 Json = dict[str, Any]
 
 
@@ -464,7 +466,7 @@
         return {
             "listen": f"{HOST}:0",
             "discovery": self.discovery.address,
-            "seed": "8c1f30d27a5be964",
+            "seed": f"{next(SEEDS):016x}",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
             "known": self.discovery.whole(),
             "settings": settings(),
