A router that stops waits for connections accepted in that turn, and for rejected ones

Cause: uvloop accepts a connection in one turn and calls connection_made in the next. In between it is neither in the backlog nor in the table of connections. ClientConnections.close took the empty table for "nobody is owed an answer" and set _all_closed for good, so that wait_until_closed returned and the process ended. Clients rejected at the cap are in no table of admitted ones either.

Change: Listener.starting holds each accepted connection from the creation of its protocol until connection_made; _all_closed is set only when no connection is admitted, rejected or starting. An inherited socket (upgrade), whose accepting ends at SIGTERM, goes the same way.

Why it works: the protocol is created by the accept itself, so that a connection is in one of the three at any moment.

--- a/rainhitch/node/client_connection.py
+++ b/rainhitch/node/client_connection.py
@@ -153,9 +153,9 @@
         self.transport = None
         self.state = ConnectionState.CLOSED
         self.record_close_reason(CloseReason.BY_CLIENT)
-        self.host.connection_lost(self)
         if self.rejected is not None:
             self.rejected.connection_lost()
+        self.host.connection_lost(self)
         self.close_timer.connection_lost()
         for slot in self.responses.connection_lost():
             if slot.relay is not None:
--- a/rainhitch/node/client_connections.py
+++ b/rainhitch/node/client_connections.py
@@ -80,6 +80,8 @@
 
     def admit(self, client: ClientConnection) -> bool:
         """Admits a new connection; at the cap only if another one can be closed."""
+        if self.listener is not None:
+            self.listener.connection_started(client)
         self._pace_accepts()
         if len(self.connections) >= self.descriptors.max_clients(self.max_open):
             if not self._evict_connection():
@@ -187,7 +189,16 @@
         self.activity.remove(client)
         self.buffered_bytes -= client.flow.buffered_bytes
         client.flow.buffered_bytes = 0
-        if self.closing and not self.connections:
+        self._update_all_closed()
+
+    def _update_all_closed(self) -> None:
+        """Ends `wait_until_closed` once no client is owed a response any more.
+
+        Besides the admitted connections these are the accepted ones that have not started yet, and the
+        rejected ones, whose response is written but may be lost with the process.
+        """
+        is_starting = self.listener is not None and self.listener.has_starting_connection()
+        if self.closing and not self.connections and not self.rejected.connections and not is_starting:
             self._all_closed.set()
 
     @property
@@ -209,8 +220,7 @@
         self.drain()
         if self.listener is not None:
             self.listener.close()
-        if not self.connections:
-            self._all_closed.set()
+        self._update_all_closed()
 
     async def wait_until_closed(self, max_wait_s: float) -> None:
         """Waits until all connections are closed, for at most `max_wait_s`."""
--- a/rainhitch/node/listener.py
+++ b/rainhitch/node/listener.py
@@ -1,6 +1,7 @@
 """Accepts client connections. Accepting can be paused; new connections then wait in the system's backlog."""
 
 import asyncio
+import weakref
 
 from rainhitch import system
 from rainhitch.system import ProtocolFactory
@@ -24,6 +25,9 @@
         self.make_protocol = make_protocol
         self.socket = system.of(loop).open_listener(host, port, inherited)
         self.server: asyncio.AbstractServer | None = None  # None while accepting is paused
+        # The protocols of accepted connections whose connection_made is not called yet: the event loop calls
+        # it one turn later. Weak references, as it is never called if the accept fails within the loop.
+        self.starting: weakref.WeakSet[asyncio.BaseProtocol] = weakref.WeakSet()
         self.resume_task: asyncio.Task[None] | None = None
         self.draining = False
         self.pauses = 0
@@ -36,7 +40,21 @@
         return self.socket.address
 
     async def _accept(self) -> None:
-        self.server = await self.socket.accept(self.make_protocol, MAX_ACCEPTS_PER_TURN, BACKLOG)
+        self.server = await self.socket.accept(self._make_starting, MAX_ACCEPTS_PER_TURN, BACKLOG)
+
+    def _make_starting(self) -> asyncio.Protocol:
+        """Creates the protocol of a connection that is being accepted."""
+        protocol = self.make_protocol()
+        self.starting.add(protocol)
+        return protocol
+
+    def connection_started(self, protocol: asyncio.BaseProtocol) -> None:
+        """Records that an accepted connection has started; its protocol must call this in connection_made."""
+        self.starting.discard(protocol)
+
+    def has_starting_connection(self) -> bool:
+        """Returns whether an accepted connection has not started yet."""
+        return bool(self.starting)
 
     def pause(self, seconds: float) -> None:
         """Pauses accepting for `seconds`; does nothing if already paused or if the listener is draining."""
--- a/tests/node/test_races.py
+++ b/tests/node/test_races.py
@@ -13,6 +13,7 @@
 import time
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
@@ -22,7 +23,9 @@
 
 from rainhitch import interface as api
 from rainhitch.node import client_connection as client_module
+from rainhitch.node import client_connections as clients_module
 from rainhitch.node import close_timer, connection_pool, upstream_connection
+from rainhitch.node.client_connections import ClientConnections
 from rainhitch.node.close_reason import CloseReason
 from rainhitch.node.configuration import parse_configuration
 from rainhitch.node.discovery_watch import DiscoveryWatch
@@ -33,6 +36,7 @@
 from rainhitch.node.upstream_connection import WriteProgress
 from rainhitch.protocol.resp import command
 
+BRIEF_S = 0.1  # in which nothing may happen
 CONFIG = {"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "1"}
 
 READ = b"c=read,t=acme,d=9000"
@@ -643,6 +647,45 @@
     await ending
 
 
+@pytest.mark.parametrize("is_inherited", [False, True], ids=["own socket", "inherited socket"])
+async def test_a_connection_accepted_in_the_turn_in_which_a_router_stops_listening_is_answered(
+    monkeypatch: pytest.MonkeyPatch, is_inherited: bool
+) -> None:
+    """Guards against an exit over a request: a connection is accepted one turn before it is in the table.
+
+    The event loop calls connection_made in the turn after the accept. A router that stopped in between found
+    an empty backlog and an empty table, and ended with the request of that connection unanswered.
+    """
+    loop = asyncio.get_running_loop()
+    ends: list[asyncio.Task[None]] = []
+
+    def close(clients: ClientConnections) -> None:
+        clients.close()
+        ends.append(loop.create_task(clients.wait_until_closed(PATIENCE)))
+
+    def accept_as_the_router_closes(clients: ClientConnections) -> client_module.ClientConnection:
+        loop.call_soon(close, clients)  # runs before connection_made, which is scheduled next
+        return client_module.ClientConnection(clients)
+
+    monkeypatch.setattr(clients_module, "ClientConnection", accept_as_the_router_closes)
+    with socket.create_server(("127.0.0.1", 0)) as shared:
+        config = parse_configuration({**CONFIG, "settings": info()}, "x")
+        config.inherited_fd = shared.fileno() if is_inherited else None
+        service = Router(config)
+        await service.start()
+        drain = service.clients.client_drain
+        drain.schedule = replace(drain.schedule, close_idle_s=PATIENCE, stop_reading_s=PATIENCE)
+        assert service.clients.listener is not None
+        with socket.create_connection(service.clients.listener.socket.address) as raw:
+            raw.settimeout(PATIENCE)
+            (end,) = await wait_until(lambda: ends)
+            ended, _ = await asyncio.wait({end}, timeout=BRIEF_S)
+            assert not ended
+            raw.sendall(get(b"i1"))
+            assert await asyncio.to_thread(raw.recv, 64) == b"-BUSY\r\n"
+        await end
+
+
 async def test_a_client_that_connects_in_an_accept_pause_is_answered_when_the_router_stops_listening() -> (
     None
 ):
--- a/tests/node/test_rejected_connection.py
+++ b/tests/node/test_rejected_connection.py
@@ -11,6 +11,7 @@
 from rainhitch.protocol.resp import command
 
 COMMANDS_AT_ONCE = 4
+BRIEF_S = 0.1  # in which nothing may happen
 
 
 def commands_at_once(name: bytes) -> bytes:
@@ -104,3 +105,27 @@
         await wait_until(
             lambda: len(bench.clients.rejected.connections) <= rejected_connection.MAX_REJECTED_CONNECTIONS
         )
+
+
+async def test_a_router_that_stops_waits_for_the_clients_that_it_has_rejected() -> None:
+    """Guards against a lost response: the end of the process resets a connection that has unread bytes.
+
+    A rejected connection is in no table of admitted ones; with none of those left the router ended at once.
+    """
+    async with router(sockets=1) as bench:
+        bench.clients.idle_grace_s = bench.clients.idle_grace_near_cap_s = 3600.0
+        first = await bench.caller()
+        await first.answer_to_ping()
+        late = await bench.caller()
+        assert str(await late.answer()) == "BUSY"  # written before its command is read
+        first.writer.close()
+        await wait_until(lambda: not bench.clients.connections)
+        bench.clients.close()
+        ending = asyncio.ensure_future(bench.clients.wait_until_closed(PATIENCE))
+        ended, _ = await asyncio.wait({ending}, timeout=BRIEF_S)
+        assert not ended and bench.clients.rejected.connections
+        late.writer.write(commands_at_once(b"late"))
+        for _ in range(COMMANDS_AT_ONCE - 1):
+            assert str(await late.answer()) == "BUSY"
+        await ending
+        assert not bench.clients.rejected.connections
