A long value that breaks off no longer loses the requests behind it

Cause: a relayed value that breaks off has to end its connection (RESP has no form for one), and commands behind it were read and begun. ResponseQueue._write_relay aborted the connection with all their slots. The abort also dropped responses before the value that a slow reader had not read yet.

Change: where further input of the connection has been read when a long value begins, the value is stored until it is whole (node/stored_value.py), as part of its attempt, within half of the memory for clients; it waits for that memory with the server unread. Otherwise it is relayed, and no further command of the connection is read until it is whole. A value that breaks off then ends the connection by a half-close that reads nothing more. Stored values are sent in pieces of 128 KB, so that the time limit on unread responses is on each piece.

Why it works: at the moment of a cut-off no command behind the value has been read.

--- a/rainhitch/node/attempt_runner.py
+++ b/rainhitch/node/attempt_runner.py
@@ -5,7 +5,9 @@
     not started --> in flight --the connection reports a result--> ended
                         |--------it times out--------------------> ended: its connection is closed first
                         |--------abandoned before its last byte is written: it never ran--> ended
-                        '--------a long value begins-------------> ended: its relay continues on its own
+                        '--------a long value is relayed---------> ended: its relay continues on its own
+
+An attempt whose long value is stored (node/stored_value.py) stays in flight until the value is whole.
 """
 
 import asyncio
@@ -15,9 +17,10 @@
 from rainhitch import interface as api
 from rainhitch.node.connection_pool import ConnectionPools
 from rainhitch.node.decision_loop import DecisionLoop
-from rainhitch.node.exchange import AttemptResult, Exchange
+from rainhitch.node.exchange import AttemptResult, Exchange, LongValueReceiver
 from rainhitch.node.in_flight_request import REQUEST_OPEN, Attempt, FinishedAttempt, InFlightRequest
 from rainhitch.node.relay import Relay, RelaySource
+from rainhitch.node.stored_value import StoredValue
 from rainhitch.telemetry.counts import Counts
 
 NS_PER_MS = 1_000_000
@@ -90,7 +93,7 @@
             request.client_request,
             now + timeout_ns,
             lambda result: self.ended(attempt, result),
-            lambda source, size_bytes: self._start_relay(attempt, source, size_bytes),
+            lambda source, size_bytes: self._begin_long_value(attempt, source, size_bytes),
             lambda: self._may_write(attempt, write_by_ns),
         )
         attempt.connection = pool.start(exchange)
@@ -168,14 +171,39 @@
             self.owner.withdraw(request)
         return in_time and request.state is REQUEST_OPEN and attempt.is_in_flight()
 
-    def _start_relay(self, attempt: Attempt, source: RelaySource, size_bytes: int) -> Relay | None:
-        """Starts the relay of a long value; returns None if the request no longer needs the value.
+    def _begin_long_value(
+        self, attempt: Attempt, source: RelaySource, size_bytes: int
+    ) -> LongValueReceiver | None:
+        """Returns the receiver of a long value, or None if the request no longer needs the value.
 
-        Once the relay has started, the request has no further attempts, and no time limit except the relay's.
+        The value is stored if its client has sent further commands, which a relay that breaks off would leave
+        unanswered; otherwise it is relayed.
         """
         request = attempt.request
         if not attempt.is_in_flight() or request.state is not REQUEST_OPEN:
             return None
+        sink = request.sink
+        if not sink.is_followed() or not sink.may_store(size_bytes):
+            return self._start_relay(attempt, source, size_bytes)
+        attempt.is_storing_value = True
+
+        def reserve() -> bool:
+            return request.state is REQUEST_OPEN and sink.reserve_value(size_bytes)
+
+        return StoredValue(self.loop, source, size_bytes, reserve)
+
+    def stop_storing(self, attempt: Attempt) -> None:
+        """Ends an attempt whose value was being stored for a client that has disconnected."""
+        if attempt.connection is not None:
+            attempt.connection.close_attempt()
+        self.ended(attempt, AttemptResult(api.AttemptStatus.OK))
+
+    def _start_relay(self, attempt: Attempt, source: RelaySource, size_bytes: int) -> Relay | None:
+        """Starts the relay of a long value; returns None if its client can't be served.
+
+        Once the relay has started, the request has no further attempts, and no time limit except the relay's.
+        """
+        request = attempt.request
         request.attempt = None
         for timer in (request.deadline_timer, attempt.timeout_timer):
             if timer is not None:
--- a/rainhitch/node/cache_connection.py
+++ b/rainhitch/node/cache_connection.py
@@ -4,8 +4,7 @@
 
 from rainhitch.interface import NOTE_HIT, NOTE_MISS, NOTE_MISS_PENDING, NOTE_NONE, AttemptStatus
 from rainhitch.node.client_request import ClientRequest
-from rainhitch.node.exchange import AttemptResult
-from rainhitch.node.relay import Relay
+from rainhitch.node.exchange import AttemptResult, LongValueReceiver
 from rainhitch.node.upstream_connection import OwningPool, UpstreamConnection
 from rainhitch.protocol import resp
 from rainhitch.protocol.resp2_reader import Resp2Reader
@@ -69,26 +68,25 @@
             self._end(response)
 
     def next_response(self) -> object:
-        """Returns the active attempt's response once it is complete, or NEED_DATA; relays a long value."""
-        response = self.reader.next() if self.relay is None else self._feed_relay(self.relay)
+        """Returns the active attempt's response once it is complete, or NEED_DATA; passes on a long value."""
+        response = self.reader.next() if self.receiver is None else self._feed(self.receiver)
         if isinstance(response, resp.LongValue):
-            self.start_relay(response.size_bytes)
-            response = resp.NEED_DATA if self.relay is None else self._feed_relay(self.relay)
+            self.begin_long_value(response.size_bytes)
+            response = resp.NEED_DATA if self.receiver is None else self._feed(self.receiver)
         return response
 
-    def _feed_relay(self, relay: Relay) -> object:
-        """Relays what has arrived of a long value; returns the response once all of it is here."""
+    def _feed(self, receiver: LongValueReceiver) -> object:
+        """Passes on what has arrived of a long value; returns the response once all of it is here."""
         piece = self.reader.read_long_value()
         if piece:
-            relay.feed(piece)
-        # If the client disconnected during `feed`, this connection is closed and has no relay.
-        return (
-            resp.NEED_DATA if self.reader.long_value_bytes_left or self.relay is None else self.reader.next()
-        )
+            receiver.feed(piece)
+        # If the client disconnected during `feed`, this connection is closed and has no receiver.
+        is_incomplete = bool(self.reader.long_value_bytes_left) or self.receiver is None
+        return resp.NEED_DATA if is_incomplete else self.reader.next()
 
     def _end(self, response: object) -> None:
-        if self.relay is not None and isinstance(response, list):
-            response[0] = b""  # the value has been relayed
+        if self.receiver is not None and isinstance(response, list):
+            response[0] = b""  # the receiver has the value
         result = self.result_of(response)
         if result is None:
             self.fail_protocol()
--- a/rainhitch/node/client_activity.py
+++ b/rainhitch/node/client_activity.py
@@ -8,13 +8,15 @@
 
 
 class ClientActivity:
-    """Three groups of connections, longest waiting first; values are loop times in seconds."""
+    """Groups of connections, longest waiting first; values are loop times in seconds."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         self.loop = loop
         self.awaiting_command: dict[ClientConnection, float] = {}  # first command or rest of one is due
         self.idle: dict[ClientConnection, float] = {}  # all commands answered and nothing received since
         self.lingering: dict[ClientConnection, float] = {}  # half closed, waiting for the client to close
+        # Not read because the last command is answered by a relay; independent of the other groups.
+        self.relaying: dict[ClientConnection, float] = {}
 
     def connected(self, client: ClientConnection) -> None:
         """Records a new connection, which waits for its first command."""
@@ -28,6 +30,10 @@
     def classify(self, client: ClientConnection) -> None:
         """Puts a connection into the group that matches its current state, or into none."""
         responses = client.responses
+        if responses.ends_with_relay():
+            self.relaying.setdefault(client, self.loop.time())
+        else:
+            self.relaying.pop(client, None)
         is_blocked = responses.write_buffer_full or client.flow.has_yielded
         takes_commands = client.state is CONNECTION_OPEN and not is_blocked
         in_progress = len(responses.slots)
@@ -67,5 +73,5 @@
 
     def remove(self, client: ClientConnection) -> None:
         """Removes a closed connection from all groups."""
-        for group in (self.awaiting_command, self.idle, self.lingering):
+        for group in (self.awaiting_command, self.idle, self.lingering, self.relaying):
             group.pop(client, None)
--- a/rainhitch/node/client_connection.py
+++ b/rainhitch/node/client_connection.py
@@ -215,6 +215,8 @@
             while handled < max_commands and self.state is CONNECTION_OPEN:
                 if responses.write_buffer_full or len(responses.slots) >= MAX_PIPELINED_COMMANDS:
                     break
+                if responses.ends_with_relay():
+                    break
                 parts = self.reader.next()
                 if parts is resp.NEED_DATA:
                     break
@@ -228,6 +230,19 @@
             self.end_with_error(f"Protocol error: {problem}", CloseReason.PROTOCOL_ERROR)
         return handled
 
+    def has_unhandled_input(self) -> bool:
+        """Returns whether data has been read from the client that is not handled as a command yet."""
+        return bool(self.reader.buffer)
+
+    def end_within_value(self) -> None:
+        """Half closes the connection within a long value that has broken off.
+
+        What was written before is still sent. Nothing more is read: commands that the client has sent behind
+        the value stay unread, so that it may send them again on another connection.
+        """
+        if self.state is not HALF_CLOSED:
+            self.half_close(CloseReason.VALUE_CUT_OFF)
+
     def end_with_error(self, problem: str, reason: CloseReason) -> None:
         """Stops reading; answers the commands received, then sends `problem`, then closes."""
         self.record_close_reason(reason)
--- a/rainhitch/node/client_connections.py
+++ b/rainhitch/node/client_connections.py
@@ -169,10 +169,13 @@
     def _sweep(self) -> None:
         """Ends connections with an overdue command; above half the cap, also closes idle ones: see `admit`.
 
-        Limits the time of clients that send nothing, half a command, or a byte now and then.
+        Limits the time of clients that send nothing, half a command, or a byte now and then, and closes the
+        connections of those that have left within a long value.
         """
         for client in self.activity.overdue(self.unfinished_command_limit_s):
             client.end_unfinished_command()
+        for client in list(self.activity.relaying):
+            client.has_disconnected()  # closes it then: the loop reports no end while nothing is read
         if len(self.connections) > self.max_open // 2:
             for client in list(self.activity.iter_unused(self.activity.idle, self.idle_grace_s)):
                 self._half_close_idle(client)
--- a/rainhitch/node/in_flight_request.py
+++ b/rainhitch/node/in_flight_request.py
@@ -48,6 +48,15 @@
     def start_relay(self, relay: Relay) -> None:
         """Takes the relay of a long value, which is sent to the client in pieces as it arrives."""
 
+    def is_followed(self) -> bool:
+        """Returns whether further data has been read from the client's connection."""
+
+    def may_store(self, size_bytes: int) -> bool:
+        """Returns whether a value of `size_bytes` may be stored, now or once other values are sent."""
+
+    def reserve_value(self, size_bytes: int) -> bool:
+        """Returns whether there is memory to store a value of `size_bytes`; if so, reserves it."""
+
     def encode(self, value: object) -> bytes:
         """Encodes a RESP3 value in the client's protocol version."""
 
@@ -77,6 +86,7 @@
     started_at_ns: int
     connection: UpstreamConnection | None = None
     timeout_timer: asyncio.TimerHandle | None = None
+    is_storing_value: bool = False  # whether a long value is being stored for it
     timeout_extended: bool = False  # whether it timed out with a response unread and got more time to read it
 
     def is_in_flight(self) -> bool:
--- a/rainhitch/node/origin_connection.py
+++ b/rainhitch/node/origin_connection.py
@@ -46,8 +46,8 @@
             self.fail_protocol()
             return
         if self.http.response.long_body_bytes:
-            self._feed_relay(self.http.response.long_body_bytes)
-            if self.relay is None:
+            self._feed(self.http.response.long_body_bytes)
+            if self.receiver is None:
                 return  # value not needed, or its client has disconnected: the connection is closed
         if response is not None:
             result = result_of_response(response)
@@ -56,12 +56,12 @@
             else:
                 self.finish(result, self.http.reset_for_next_request())
 
-    def _feed_relay(self, size_bytes: int) -> None:
-        if self.relay is None:
-            self.start_relay(size_bytes)
+    def _feed(self, size_bytes: int) -> None:
+        if self.receiver is None:
+            self.begin_long_value(size_bytes)
         piece = self.http.read_body()
-        if piece and self.relay is not None:
-            self.relay.feed(piece)
+        if piece and self.receiver is not None:
+            self.receiver.feed(piece)
 
     def eof_received(self) -> None:
         """Handles the end of the origin's stream."""
--- a/rainhitch/node/read_flow.py
+++ b/rainhitch/node/read_flow.py
@@ -30,12 +30,12 @@
     ) -> None:
         """Pauses or resumes reading.
 
-        A lingering connection is always read, unless its write buffer is full, so that its close does not
-        cause a reset.
+        A lingering connection is read, unless its write buffer is full or it ended within a long value, so
+        that its close does not cause a reset. Commands behind a value that is being relayed stay unread.
         """
         is_full = self.has_yielded or len(self.responses.slots) >= MAX_PIPELINED_COMMANDS
         takes_no_more = (is_full or no_more_commands) and not is_lingering
-        paused = self.responses.write_buffer_full or takes_no_more
+        paused = self.responses.write_buffer_full or takes_no_more or self.responses.ends_with_relay()
         if paused:
             transport.pause_reading()
         else:
--- a/rainhitch/node/request_driver.py
+++ b/rainhitch/node/request_driver.py
@@ -19,6 +19,7 @@
 from rainhitch.node.loop_lag import HEARTBEAT_NS
 from rainhitch.node.relay import Relay, RelaySource
 from rainhitch.node.request_accounting import RequestAccounting
+from rainhitch.node.stored_value import EncodedValue
 from rainhitch.policy.balancer import Balancer
 from rainhitch.protocol import resp
 from rainhitch.telemetry.records import FAILED_PREFIX, OVERDUE, REJECTED_PREFIX, SERVED
@@ -120,7 +121,10 @@
         return request
 
     def withdraw(self, request: InFlightRequest) -> None:
-        """Withdraws a disconnected client's request; a fully written attempt runs on for connection reuse."""
+        """Withdraws a disconnected client's request.
+
+        A fully written attempt runs on for connection reuse, unless its response is a long value.
+        """
         if not request.is_open():
             return
         self._mark_finished(request)
@@ -128,6 +132,8 @@
         self.decision_loop.handle(api.ClientGone(request.id))
         if request.attempt is not None:
             self.attempts.abandon_if_unwritten(request.attempt)
+        if request.attempt is not None and request.attempt.is_storing_value:
+            self.attempts.stop_storing(request.attempt)
         self.remove_if_finished(request)
 
     def endpoints_updated(self, event: api.EndpointUpdate) -> None:
@@ -216,7 +222,12 @@
 
     def send_value(self, request: InFlightRequest, value: object) -> None:
         """Sends the value of a successful attempt to the client."""
-        response = resp.bulk_string(value) if isinstance(value, bytes) else request.sink.encode(value)
+        if isinstance(value, EncodedValue):
+            response = value.encoded
+        elif isinstance(value, bytes):
+            response = resp.bulk_string(value)
+        else:
+            response = request.sink.encode(value)
         self._respond(request, response, self.metrics.served, SERVED)
 
     def start_relay(self, request: InFlightRequest, source: RelaySource, size_bytes: int) -> Relay:
--- a/rainhitch/node/response_queue.py
+++ b/rainhitch/node/response_queue.py
@@ -4,20 +4,22 @@
 from collections import deque
 from typing import Protocol
 
-from rainhitch.node.close_reason import CloseReason
 from rainhitch.node.relay import Relay
 from rainhitch.node.response_slot import ResponseSlot, SlotOwner
+from rainhitch.node.stored_value import MAX_FRAME_BYTES
 from rainhitch.node.upstream_connection import READ_PIECE_BYTES
 from rainhitch.protocol import resp
 
 SMALL_RESPONSE_BYTES = 1024  # responses up to this size are kept even if buffer memory is exhausted
+SENT_PIECE_BYTES = 128 << 10  # longer responses are sent in pieces, so that a time limit is on each
+MAX_STORED_VALUES_DIVISOR = 2  # stored values take at most this part (1/n) of the buffer memory
 
 
 class QueueOwner(SlotOwner, Protocol):
     """The connection that a queue belongs to."""
 
-    def abort(self, reason: CloseReason) -> None:
-        """Closes the connection at once."""
+    def end_within_value(self) -> None:
+        """Ends the connection within a long value that has broken off."""
 
     def update_buffered_bytes(self) -> None:
         """Updates the number of bytes counted as buffered for the connection."""
@@ -33,7 +35,11 @@
         """Returns True: the client has disconnected."""
         return True
 
-    def abort(self, reason: CloseReason) -> None:
+    def has_unhandled_input(self) -> bool:
+        """Returns False: nothing more is handled."""
+        return False
+
+    def end_within_value(self) -> None:
         """Does nothing."""
 
     def update_buffered_bytes(self) -> None:
@@ -84,9 +90,16 @@
 
     def hold(self, slot: ResponseSlot, response: bytes) -> bytes:
         """Returns the response to hold until it can be written; an error if there is no memory for it."""
-        if len(response) > SMALL_RESPONSE_BYTES and not self.reserve_bytes(slot, len(response)):
-            return resp.FAILED_REPLY
-        return response
+        size_bytes = len(response)
+        reserved_bytes = slot.reserved_bytes
+        slot.reserved_bytes = 0
+        self.waiting_bytes -= reserved_bytes
+        if size_bytes <= SMALL_RESPONSE_BYTES:
+            return response
+        if size_bytes <= reserved_bytes:
+            self.waiting_bytes += size_bytes
+            return response
+        return response if self.reserve_bytes(slot, size_bytes) else resp.FAILED_REPLY
 
     def reserve_bytes(self, slot: ResponseSlot, size_bytes: int) -> bool:
         """Returns whether `size_bytes` may be held until the slot can be written; if so, counts them."""
@@ -101,6 +114,47 @@
         self.owner.update_buffered_bytes()
         return True
 
+    def is_last(self, slot: ResponseSlot) -> bool:
+        """Returns whether no command has been handled after the slot's."""
+        return not self.slots or self.slots[-1] is slot
+
+    def may_store(self, slot: ResponseSlot, size_bytes: int) -> bool:
+        """Returns whether a value may be stored, now or later; if so, reserves memory for its first piece.
+
+        False if it would never fit, or if there is no memory for what has arrived of it.
+        """
+        limits = self.limits
+        if size_bytes + MAX_FRAME_BYTES > limits.max_buffered_bytes // MAX_STORED_VALUES_DIVISOR:
+            return False
+        if limits.buffered_bytes + READ_PIECE_BYTES > limits.max_buffered_bytes:
+            return False
+        self._reserve_for_value(slot, READ_PIECE_BYTES)
+        return True
+
+    def reserve_value(self, slot: ResponseSlot, size_bytes: int) -> bool:
+        """Returns whether there is memory to store a value of `size_bytes`; if so, reserves it."""
+        total_bytes = size_bytes + MAX_FRAME_BYTES
+        more_bytes = total_bytes - slot.reserved_bytes
+        max_bytes = self.limits.max_buffered_bytes // MAX_STORED_VALUES_DIVISOR
+        if self.limits.buffered_bytes + more_bytes > max_bytes:
+            return False
+        self._reserve_for_value(slot, total_bytes)
+        return True
+
+    def _reserve_for_value(self, slot: ResponseSlot, total_bytes: int) -> None:
+        """Raises the memory reserved for a slot's value to `total_bytes`."""
+        more_bytes = max(0, total_bytes - slot.reserved_bytes)
+        slot.reserved_bytes += more_bytes
+        self.waiting_bytes += more_bytes
+        self.owner.update_buffered_bytes()
+
+    def ends_with_relay(self) -> bool:
+        """Returns whether the last command is answered by a relay, so that no further one may be handled.
+
+        A value that breaks off ends the connection; commands that are still unread may be sent again.
+        """
+        return bool(self.slots) and self.slots[-1].relay is not None
+
     def write_ready(self) -> bool:
         """Writes all responses that are next in order; returns whether any was written completely."""
         wrote = False
@@ -117,6 +171,11 @@
                     break
             elif slot.response is None:
                 break
+            elif len(slot.response) > SENT_PIECE_BYTES:
+                is_complete = self._write_piece(slot, slot.response, b"".join(ready))
+                ready = []
+                if not is_complete:
+                    continue
             else:
                 ready.append(slot.response)
             self.slots.popleft()
@@ -128,13 +187,21 @@
                 self.transport.write(b"".join(ready))
         return wrote
 
+    def _write_piece(self, slot: ResponseSlot, response: bytes, before: bytes) -> bool:
+        """Writes `before` and the next piece of a long response; returns whether the response is complete."""
+        assert self.transport is not None
+        piece = response[slot.sent_bytes : slot.sent_bytes + SENT_PIECE_BYTES]
+        slot.sent_bytes += len(piece)
+        self.transport.write(before + piece)
+        return slot.sent_bytes == len(response)
+
     def _write_relay(self, relay: Relay, before: bytes) -> bool:
         """Writes `before` and the available part of a long value; returns whether the value is complete."""
         assert self.transport is not None
         if relay.is_broken():
-            # A truncated value must not look complete to the client: the connection is aborted within it.
+            # A truncated value must not look complete to the client: the connection is ended within it.
             self.transport.write(before)
-            self.owner.abort(CloseReason.VALUE_CUT_OFF)
+            self.owner.end_within_value()
             return False
         head = b"" if relay.head_written else b"$%d\r\n" % relay.size_bytes
         relay.head_written = True
@@ -150,4 +217,4 @@
 def _held_bytes(slot: ResponseSlot) -> int:
     if slot.relay is not None:
         return READ_PIECE_BYTES
-    return len(slot.response or b"")
+    return slot.reserved_bytes if slot.response is None else len(slot.response)
--- a/rainhitch/node/upstream_connection.py
+++ b/rainhitch/node/upstream_connection.py
@@ -2,17 +2,17 @@
 
 Life cycle of a connection:
 
-    CONNECTING --connected--> IDLE <--attempt ended-- ACTIVE --a long value begins--> RELAYING
+    CONNECTING --connected--> IDLE <--attempt ended-- ACTIVE --a long value begins--> RECEIVING
         |                      |  '---next attempt------> |                               |
         '----------------------'-- lost, closed, or invalid response ---------------------'
                                         |
                                         v
                                       CLOSED
 
-In CONNECTING there is no transport yet, in ACTIVE there is an exchange, in RELAYING also a relay. An attempt
-may wait for the connection to be established. `WriteProgress` says how much of an attempt the operating
-system has accepted: a server runs a request once it has the last byte, so an attempt that is not WRITTEN has
-never run.
+In CONNECTING there is no transport yet, in ACTIVE there is an exchange, in RECEIVING also a receiver of the
+long value: its relay or its store. An attempt may wait for the connection to be established. `WriteProgress`
+says how much of an attempt the operating system has accepted: a server runs a request once it has the last
+byte, so an attempt that is not WRITTEN has never run.
 """
 
 import asyncio
@@ -23,10 +23,9 @@
 
 from rainhitch.interface import Address, AttemptStatus
 from rainhitch.node.client_request import ClientRequest
-from rainhitch.node.exchange import AttemptResult, Exchange
+from rainhitch.node.exchange import AttemptResult, Exchange, LongValueReceiver
 from rainhitch.node.key_invalidations import KeyInvalidations
 from rainhitch.node.loop_lag import LoopLag
-from rainhitch.node.relay import Relay
 from rainhitch.node.upstream_socket import UpstreamSocket
 from rainhitch.system import System
 from rainhitch.telemetry.counts import Counts
@@ -93,7 +92,7 @@
         self.opened_at_s = 0.0  # loop time
         self.reused = False  # whether it has carried an attempt besides the one that it was opened for
         self.idle_since_s = 0.0  # loop time
-        self.relay: Relay | None = None  # the relay of the long value being received
+        self.receiver: LongValueReceiver | None = None  # of the long value that is arriving
 
     @abstractmethod
     def encode(self, client_request: ClientRequest, info: bytes) -> bytes:
@@ -177,31 +176,33 @@
             self.close()
             exchange.on_finished(AttemptResult(AttemptStatus.ABANDONED))
 
-    def start_relay(self, size_bytes: int) -> None:
-        """Starts the relay of a long value; closes the connection if the value is no longer needed."""
+    def begin_long_value(self, size_bytes: int) -> None:
+        """Begins to receive a long value; closes the connection if the value is no longer needed."""
         assert self.exchange is not None
-        self.relay = self.exchange.on_long_value(self, size_bytes)
-        if self.relay is None:
+        self.receiver = self.exchange.on_long_value(self, size_bytes)
+        if self.receiver is None:
             self.finish(AttemptResult(AttemptStatus.OK), reusable=False)
 
     def close(self) -> None:
         """Closes the connection at once, in both directions, without a result for the active attempt."""
-        self._abort_relay()
+        self._abort_long_value()
         self.pool.drop(self)
         self.shut()
 
-    def _abort_relay(self) -> None:
-        relay = self.relay
-        self.relay = None
-        if relay is not None:
-            relay.fail()
+    def _abort_long_value(self) -> None:
+        receiver = self.receiver
+        self.receiver = None
+        if receiver is not None:
+            receiver.fail()
 
     def finish(self, result: AttemptResult, reusable: bool = True) -> None:
         """Ends the attempt; the connection is released before the result is reported."""
-        if self.relay is not None and result.status is AttemptStatus.OK:
-            relay = self.relay
-            self.relay = None
-            relay.finish()
+        if self.receiver is not None and result.status is AttemptStatus.OK:
+            receiver = self.receiver
+            self.receiver = None
+            stored = receiver.finish()
+            if stored is not None:
+                result.value = stored
         exchange = self.exchange
         self.exchange = None
         # A request may be answered before its last byte is written: the connection is then closed, so that
@@ -219,7 +220,7 @@
 
     def lost(self, status_if_unwritten: AttemptStatus = AttemptStatus.CONNECT_FAILED) -> None:
         """Handles a lost or failed connection; an unwritten attempt ends with `status_if_unwritten`."""
-        self._abort_relay()
+        self._abort_long_value()
         self.is_closed = True
         was_written = self.write_progress is WRITTEN
         status = AttemptStatus.RESET if was_written else status_if_unwritten
