Bursts of hundreds of clients no longer make turns of the event loop long

Cause: each connection handles up to 16 commands in a turn, and nothing bounded the sum: turns of 7,872 commands, about a second at some 8,000 a second. A usual request needs two turns.

Change: node/turn_budget.py. Once a turn has handled 128 commands, each further connection handles one in it.

Why it works: a turn handles at most 128 + 16 commands and one of each connection, whatever all clients have sent.

Test: test_bursts_of_many_clients_do_not_make_a_turn_long fails without the limit to one (384 commands in a turn, 168 allowed).

--- a/rainhitch/node/client_connection.py
+++ b/rainhitch/node/client_connection.py
@@ -25,11 +25,11 @@
 from rainhitch.node.rejected_connection import RejectedConnection, RejectedConnections
 from rainhitch.node.response_queue import BufferLimits, ResponseQueue
 from rainhitch.node.session import Authenticator, Session
+from rainhitch.node.turn_budget import TurnBudget
 from rainhitch.node.unread_age import UnreadAge
 from rainhitch.protocol import resp
 from rainhitch.protocol.resp2_reader import Resp2Reader
 
-MAX_COMMANDS_PER_TURN = 16  # commands of one connection handled before other callbacks run
 NS_PER_MS = 1_000_000
 
 
@@ -73,6 +73,7 @@
     authenticator: Authenticator
     can_serve: Callable[[], bool]
     rejected: RejectedConnections
+    turn_budget: TurnBudget
 
     @property
     def draining(self) -> bool:
@@ -184,7 +185,7 @@
         if self.is_advancing or self.transport is None or self.state in ANSWERED_STATES:
             return
         self.is_advancing = True
-        commands_left = 0 if self.flow.has_yielded else MAX_COMMANDS_PER_TURN
+        commands_left = 0 if self.flow.has_yielded else self.host.turn_budget.max_commands()
         try:
             commands_left -= self._handle_commands(commands_left)
             while self.responses.write_ready() and commands_left > 0 and self.reader.buffer:
@@ -228,6 +229,7 @@
         except resp.FramingError as problem:
             # The start of the next command is unknown: the error is sent after all earlier responses.
             self.end_with_error(f"Protocol error: {problem}", CloseReason.PROTOCOL_ERROR)
+        self.host.turn_budget.add(handled)
         return handled
 
     def has_unhandled_input(self) -> bool:
--- a/rainhitch/node/client_connections.py
+++ b/rainhitch/node/client_connections.py
@@ -17,6 +17,7 @@
 from rainhitch.node.rejected_connection import RejectedConnections
 from rainhitch.node.request_driver import RequestDriver
 from rainhitch.node.session import NO_PASSWORD_NEEDED
+from rainhitch.node.turn_budget import TurnBudget
 from rainhitch.settings import Names
 
 if TYPE_CHECKING:
@@ -64,6 +65,7 @@
         self.authenticator = NO_PASSWORD_NEEDED  # checks the clients' user and password
         self.last_connection_id = 0
         self.buffered_bytes = 0  # total bytes that clients have not finished sending or reading
+        self.turn_budget = TurnBudget(self.loop)
         self.closing = False
         self.sweep_scheduled = False
         self.events = ClientEvents(self.loop)
--- a/tests/node/test_client_connection.py
+++ b/tests/node/test_client_connection.py
@@ -1,16 +1,19 @@
 """One client connection over loopback sockets: fairness, memory limits, and data after the last response."""
 
 import asyncio
+import os
+import socket
 from functools import partial
 
 import pytest
 from peers import Bench, Caller, hit, router, wait_until
 
-from rainhitch.node import client_connection as client_module
 from rainhitch.node import client_connections, client_socket
+from rainhitch.node.client_commands import ClientCommands
 from rainhitch.node.client_connection import ClientConnection
 from rainhitch.node.client_events import ClientEvent
 from rainhitch.node.close_reason import CloseReason
+from rainhitch.node.turn_budget import MAX_COMMANDS_PER_TURN, TURN_SHARE_COMMANDS
 from rainhitch.protocol import resp
 
 INCOMPLETE_WRITE = b"*5\r\n$5\r\nC.SET\r\n$1\r\nk\r\n$1\r\ni\r\n$5\r\nc=put\r\n$65536\r\n" + bytes(65_500)
@@ -55,7 +58,49 @@
                 assert await greedy.answer() == b"PONG"
         finally:
             ClientConnection._handle_commands = handle_commands  # type: ignore[method-assign]
-        assert max(turns) <= client_module.MAX_COMMANDS_PER_TURN and sum(turns) == 1000
+        assert max(turns) <= MAX_COMMANDS_PER_TURN and sum(turns) == 1000
+
+
+async def test_bursts_of_many_clients_do_not_make_a_turn_long() -> None:
+    """Hundreds of clients send bursts at once: every other client waited for turns with 16 commands of each.
+
+    A turn handles its share, and one command of each further connection.
+    """
+    async with router() as bench:
+        client_count = 3 * TURN_SHARE_COMMANDS // MAX_COMMANDS_PER_TURN
+        callers = [await bench.caller() for _ in range(client_count)]
+        await wait_until(lambda: len(bench.clients.connections) == client_count)
+        loop = asyncio.get_running_loop()
+        handled = 0
+        turns: list[int] = []
+
+        def next_turn() -> None:
+            nonlocal handled
+            turns.append(handled)
+            handled = 0
+            loop.call_soon(next_turn)
+
+        handle = ClientCommands.handle
+
+        def counted(self: ClientCommands, parts: list[bytes], unread_ms: int) -> bool:
+            nonlocal handled
+            handled += 1
+            return handle(self, parts, unread_ms)
+
+        loop.call_soon(next_turn)
+        ClientCommands.handle = counted  # type: ignore[method-assign]
+        try:
+            for caller in callers:
+                # Sent past the event loop, so that all are read in the same turn.
+                with socket.socket(fileno=os.dup(caller.writer.get_extra_info("socket").fileno())) as raw:
+                    raw.send(resp.command(b"PING") * 64)
+            for caller in callers:
+                for _ in range(64):
+                    assert await caller.answer() == b"PONG"
+        finally:
+            ClientCommands.handle = handle  # type: ignore[method-assign]
+        assert sum(turns) + handled == 64 * client_count
+        assert max(turns) <= TURN_SHARE_COMMANDS + MAX_COMMANDS_PER_TURN + client_count
 
 
 async def test_answers_whose_turn_has_not_come_are_counted_and_bounded() -> None:
@@ -163,7 +208,7 @@
         await fill_memory(bench, 3)
         usual = await bench.caller()
         usual.writer.write(reads(200, 250) + tail)
-        started = client_module.MAX_COMMANDS_PER_TURN
+        started = MAX_COMMANDS_PER_TURN
         for _ in range(started):
             assert str(await usual.answer()) in HANDLED
         for _ in range(200 - started):
