Responses to a slow reader are written in pieces, so that what they hold is counted

Cause: ResponseQueue.write_ready joined all responses next in order, up to 32, into one write. The transport keeps a write whole until its last byte is sent, and reports only the rest as unsent: 1 MB a client where 0.07 MB was counted.

Evidence: within the process, at 106 MB resident: 6.8 MB counted for clients, 4.9 of it unsent, 1.9 held; nothing on the servers' side.

Change: responses are written together up to 64 KB, and none once the transport's buffer is full; longer ones in pieces of 64 KB.

Why it works: what a connection holds beyond what is counted is one write at most.

Test: test_what_a_slow_reader_has_not_read_is_written_in_bounded_pieces fails before (all responses in one write) and passes now.

--- a/rainhitch/node/response_queue.py
+++ b/rainhitch/node/response_queue.py
@@ -11,7 +11,7 @@
 from rainhitch.protocol import resp
 
 SMALL_RESPONSE_BYTES = 1024  # responses up to this size are kept even if buffer memory is exhausted
-SENT_PIECE_BYTES = 128 << 10  # longer responses are sent in pieces, so that a time limit is on each
+MAX_WRITE_BYTES = 64 << 10  # written at once; longer responses are sent in pieces, with a time limit on each
 MAX_STORED_VALUES_DIVISOR = 2  # stored values take at most this part (1/n) of the buffer memory
 
 
@@ -156,51 +156,67 @@
         return bool(self.slots) and self.slots[-1].relay is not None
 
     def write_ready(self) -> bool:
-        """Writes all responses that are next in order; returns whether any was written completely."""
+        """Writes the responses that are next in order; returns whether any was written completely.
+
+        Responses are written together up to MAX_WRITE_BYTES: the transport keeps all that is written at once
+        in memory until the system has accepted the last byte of it.
+        """
         wrote = False
         ready: list[bytes] = []
+        ready_bytes = 0
         while self.slots and not self.write_buffer_full and self.transport is not None:
             slot = self.slots[0]
-            if slot.relay is not None and slot.relay.is_broken() and not slot.relay.head_written:
-                slot.response = resp.FAILED_REPLY
-                slot.relay = None
-            if slot.relay is not None:
-                is_complete = self._write_relay(slot.relay, b"".join(ready))
-                ready = []
-                if not is_complete:
-                    break
-            elif slot.response is None:
+            size_bytes = self._size_if_short(slot)
+            if size_bytes and ready_bytes + size_bytes <= MAX_WRITE_BYTES:
+                ready.append(slot.response or b"")
+                ready_bytes += size_bytes
+            elif ready:
+                self._write(ready)
+                ready_bytes = 0
+                continue
+            elif not self._write_long(slot):
                 break
-            elif len(slot.response) > SENT_PIECE_BYTES:
-                is_complete = self._write_piece(slot, slot.response, b"".join(ready))
-                ready = []
-                if not is_complete:
-                    continue
-            else:
-                ready.append(slot.response)
             self.slots.popleft()
             wrote = True
-        if wrote and self.transport is not None:
-            if self.waiting_bytes:
-                self.waiting_bytes = sum(_held_bytes(slot) for slot in self.slots)
-            if ready:
-                self.transport.write(b"".join(ready))
+        self._write(ready)
+        if wrote and self.waiting_bytes and self.transport is not None:
+            self.waiting_bytes = sum(_held_bytes(slot) for slot in self.slots)
         return wrote
 
-    def _write_piece(self, slot: ResponseSlot, response: bytes, before: bytes) -> bool:
-        """Writes `before` and the next piece of a long response; returns whether the response is complete."""
+    def _size_if_short(self, slot: ResponseSlot) -> int:
+        """Returns the size of a slot's response in bytes; 0 if it is not ready or not written at once."""
+        if slot.relay is not None and slot.relay.is_broken() and not slot.relay.head_written:
+            slot.response = resp.FAILED_REPLY
+            slot.relay = None
+        if slot.relay is not None or slot.response is None or slot.sent_bytes:
+            return 0
+        size_bytes = len(slot.response)
+        return size_bytes if size_bytes <= MAX_WRITE_BYTES else 0
+
+    def _write(self, ready: list[bytes]) -> None:
+        """Writes responses together, and empties the list."""
+        if ready and self.transport is not None:
+            self.transport.write(b"".join(ready))
+        ready.clear()
+
+    def _write_long(self, slot: ResponseSlot) -> bool:
+        """Writes what can be written now of a slot's long response; returns whether that is complete."""
+        if slot.relay is not None:
+            return self._write_relay(slot.relay)
+        if slot.response is None:
+            return False
         assert self.transport is not None
-        piece = response[slot.sent_bytes : slot.sent_bytes + SENT_PIECE_BYTES]
-        slot.sent_bytes += len(piece)
-        self.transport.write(before + piece)
-        return slot.sent_bytes == len(response)
-
-    def _write_relay(self, relay: Relay, before: bytes) -> bool:
-        """Writes `before` and the available part of a long value; returns whether the value is complete."""
+        while slot.sent_bytes < len(slot.response) and not self.write_buffer_full:
+            piece = slot.response[slot.sent_bytes : slot.sent_bytes + MAX_WRITE_BYTES]
+            slot.sent_bytes += len(piece)
+            self.transport.write(piece)
+        return slot.sent_bytes == len(slot.response)
+
+    def _write_relay(self, relay: Relay) -> bool:
+        """Writes the available part of a long value; returns whether the value is complete."""
         assert self.transport is not None
         if relay.is_broken():
             # A truncated value must not look complete to the client: the connection is ended within it.
-            self.transport.write(before)
             self.owner.end_within_value()
             return False
         head = b"" if relay.head_written else b"$%d\r\n" % relay.size_bytes
@@ -208,7 +224,7 @@
         piece = relay.take()
         is_complete = relay.is_fully_taken()
         tail = b"\r\n" if is_complete else b""
-        self.transport.write(b"".join((before, head, piece, tail)))
+        self.transport.write(b"".join((head, piece, tail)))
         if is_complete:
             relay.mark_forwarded()
         return is_complete
--- a/tests/node/test_client_connection.py
+++ b/tests/node/test_client_connection.py
@@ -13,6 +13,7 @@
 from rainhitch.node.client_connection import ClientConnection
 from rainhitch.node.client_events import ClientEvent
 from rainhitch.node.close_reason import CloseReason
+from rainhitch.node.response_queue import MAX_WRITE_BYTES
 from rainhitch.node.turn_budget import MAX_COMMANDS_PER_TURN, TURN_SHARE_COMMANDS
 from rainhitch.protocol import resp
 
@@ -103,6 +104,47 @@
         assert max(turns) <= TURN_SHARE_COMMANDS + MAX_COMMANDS_PER_TURN + client_count
 
 
+async def test_what_a_slow_reader_has_not_read_is_written_in_bounded_pieces() -> None:
+    """Memory grew past what was counted, to over the limit of a process with 240 clients that read slowly.
+
+    The transport keeps all that is written at once until its last byte is sent, and counts only the rest.
+    """
+    slow: list[asyncio.StreamWriter] = []
+
+    def script(asked: list[bytes], line: asyncio.StreamWriter) -> bytes | None:
+        if asked[2] == b"slow":
+            slow.append(line)
+            return None
+        return hit(bytes(60_000))
+
+    async with router(script) as bench:
+        caller = await bench.caller()
+        for name in (b"slow", *(b"i%d" % n for n in range(7))):
+            caller.get(name=name)
+        (client,) = await wait_until(lambda: list(bench.clients.connections))
+        metrics = bench.driver.metrics
+        await wait_until(lambda: metrics.served[0] + metrics.rejected[0] == 7)
+        assert metrics.served[0] >= 3
+        transport = client.responses.transport
+        assert transport is not None
+        written: list[int] = []
+
+        class CountingTransport:
+            def write(self, data: bytes) -> None:
+                written.append(len(data))
+                transport.write(data)
+
+        client.responses.transport = CountingTransport()
+        slow[0].write(hit(bytes(60_000)))
+        answers = [await caller.answer() for _ in range(8)]
+        assert (
+            answers.count(bytes(60_000))
+            == metrics.served[0]
+            == 1 + sum(size > 60_000 for size in written[1:])
+        )
+        assert max(written) <= MAX_WRITE_BYTES
+
+
 async def test_answers_whose_turn_has_not_come_are_counted_and_bounded() -> None:
     """Responses held behind a slow one must count against the memory limit.
 
