A long value that is stored is not cut off by its attempt's timeout

With it mended alone, the next reads were rejected at once: the time of the transfer counted as the server's latency.

Change: while a value is stored its attempt runs until the request's deadline, and its latency is the time until the value began, as for a relayed value.

Test: test_a_stored_value_that_its_server_writes_slowly_is_not_cut_off fails before and passes now.

--- a/rainhitch/node/attempt_runner.py
+++ b/rainhitch/node/attempt_runner.py
@@ -185,7 +185,13 @@
         sink = request.sink
         if not sink.is_followed() or not sink.may_store(size_bytes):
             return self._start_relay(attempt, source, size_bytes)
-        attempt.is_storing_value = True
+        attempt.value_began_at_ns = self.clock.now()
+        # Like a relayed value, one that arrives slowly is not cut off by the timeout of its attempt, which
+        # guards against a server that does not answer at all.
+        if attempt.timeout_timer is not None:
+            attempt.timeout_timer.cancel()
+        left_s = (request.deadline_ns - attempt.value_began_at_ns) / NS_PER_S
+        attempt.timeout_timer = self.loop.call_later(max(0.0, left_s), self.time_out, attempt)
 
         def reserve() -> bool:
             return request.state is REQUEST_OPEN and sink.reserve_value(size_bytes)
@@ -217,10 +223,12 @@
         # A pause of this router is detected first, so that it does not count as the server's latency.
         self.decision_loop.detect_pause()
         request = attempt.request
-        elapsed_ns = self.decision_loop.pause_detector.running_time_ns(
-            self.clock.now(), attempt.started_at_ns
-        )
         status = result.status
+        answered_at_ns = self.clock.now()
+        if attempt.is_storing_value() and status is api.AttemptStatus.OK:
+            # As for a relayed value: its size says nothing about the server's load.
+            answered_at_ns = attempt.value_began_at_ns
+        elapsed_ns = self.decision_loop.pause_detector.running_time_ns(answered_at_ns, attempt.started_at_ns)
         request.finished_attempts.append(FinishedAttempt(attempt.server, status, elapsed_ns))
         origin = self.decision_loop.balancer.servers.origin
         is_origin = origin is not None and origin.endpoint.server == attempt.server
--- a/rainhitch/node/in_flight_request.py
+++ b/rainhitch/node/in_flight_request.py
@@ -86,9 +86,13 @@
     started_at_ns: int
     connection: UpstreamConnection | None = None
     timeout_timer: asyncio.TimerHandle | None = None
-    is_storing_value: bool = False  # whether a long value is being stored for it
+    value_began_at_ns: int = 0  # time at which the long value that is stored for it began; 0 if there is none
     timeout_extended: bool = False  # whether it timed out with a response unread and got more time to read it
 
+    def is_storing_value(self) -> bool:
+        """Returns whether a long value is or was stored for this attempt."""
+        return self.value_began_at_ns != 0
+
     def is_in_flight(self) -> bool:
         """Returns whether this attempt has not ended yet."""
         return self.request.attempt is self
--- a/tests/node/test_relay.py
+++ b/tests/node/test_relay.py
@@ -384,6 +384,38 @@
         assert received == b"$40000\r\n%b\r\n$%d\r\n%b" % (first, SIZE, VALUE[:20_000])
 
 
+async def test_a_stored_value_that_its_server_writes_slowly_is_not_cut_off() -> None:
+    """Guards against a failed request: the first attempt's timeout is for a server that does not answer.
+
+    Nor does the size of a value tell how loaded its server is: the next request is not rejected.
+    """
+    asked, silent = silent_script()
+
+    def script(parts: Any, line: asyncio.StreamWriter) -> bytes | None:
+        return hit(b"quick") if parts[1] == b"quick" else silent(parts, line)
+
+    async with router(script) as bench:
+        caller = await bench.caller()
+        for number in range(20):  # after these the timeout of a first attempt is the shortest, 1.25 s
+            caller.get(b"quick", b"quick%d" % number)
+            assert await caller.answer() == b"quick"
+        bench.cache.received.clear()
+        caller.get()
+        caller.get(name=b"i2")
+        first, second = await wait_until(lambda: asked[1:] and asked)
+        second.write(hit(b"short"))
+        piece = SIZE // 8
+        first.write(HEAD)
+        for start in range(0, SIZE, piece):
+            first.write(VALUE[start : start + piece])
+            await asyncio.sleep(0.2)
+        first.write(TAIL)
+        assert [await caller.answer(), await caller.answer()] == [VALUE, b"short"]
+        assert len(bench.cache.received) == 2
+        caller.get(b"quick", b"next")
+        assert await caller.answer() == b"quick"
+
+
 async def test_a_stored_value_waits_for_memory_that_others_hold() -> None:
     asked, script = silent_script()
     async with router(script, memory=4 * SIZE) as bench:
