Of two servers listed at one address the earlier one counts as gone

A cache server's process ended, another server's came up at its address, and discovery had both for a while: the new, cold process got 284 to 291 requests in its first second, the load of the old one; its slow start gives it 51 to 57.

Cause: the list is kept by name. The connections of the old name were opened again to the same address, and the slow start of the new name did not count them.

Change: replaced_servers in node/endpoint_directory.py. In whole lists and in changes, a server counts as gone at whose address another has started later. The same start, as where none is told, changes nothing.

Test: test_a_server_whose_address_a_newer_one_has_taken_over_is_gone fails before in both forms and passes now.

--- a/rainhitch/node/endpoint_directory.py
+++ b/rainhitch/node/endpoint_directory.py
@@ -31,6 +31,26 @@
     listed_state: EndpointState = EndpointState.READY  # state in the list, regardless of a cordon
 
 
+def replaced_servers(listed_endpoints: list[ListedEndpoint]) -> set[str]:
+    """Returns the names of the servers at whose address another server has started later.
+
+    An address belongs to one process. A list may still have the earlier server for a while; requests to it
+    would reach the new process, which needs a slow start and has other keys.
+    """
+    newest: dict[Address, ListedEndpoint] = {}
+    for listed in listed_endpoints:
+        if listed.endpoint.state is EndpointState.GONE:
+            continue
+        other = newest.setdefault(listed.address, listed)
+        if listed.started_at_s > other.started_at_s:
+            newest[listed.address] = listed
+    return {
+        listed.endpoint.server
+        for listed in listed_endpoints
+        if listed.started_at_s < newest.get(listed.address, listed).started_at_s
+    }
+
+
 class EndpointDirectory:
     """The current endpoint list, keyed by the endpoints' names.
 
@@ -81,7 +101,7 @@
             return endpoint_list.version == self.version
         self.version = endpoint_list.version
         self.source_changed = False
-        endpoints = self._parse_entries(endpoint_list)
+        endpoints = self._without_replaced(self._parse_entries(endpoint_list), is_whole)
         if is_whole:
             self._remove_all_except({listed.endpoint.server for listed in endpoints})
         elif not endpoints:
@@ -136,6 +156,23 @@
                 log.warning("endpoint list entry skipped reason=%s", problem)
         return endpoints
 
+    def _without_replaced(self, endpoints: list[ListedEndpoint], is_whole: bool) -> list[ListedEndpoint]:
+        """Returns the endpoints without those whose address a newer process has taken over.
+
+        Known endpoints that are replaced by a change are returned as gone.
+        """
+        changed = {listed.endpoint.server for listed in endpoints}
+        known = [] if is_whole else [one for name, one in self.targets.items() if name not in changed]
+        replaced = replaced_servers([*known, *endpoints])
+        for server in sorted(replaced & self.targets.keys()):
+            log.info("endpoint replaced server=%s", server)
+        gone = [
+            replace(listed, endpoint=replace(listed.endpoint, state=EndpointState.GONE))
+            for listed in known
+            if listed.endpoint.server in replaced
+        ]
+        return [listed for listed in endpoints if listed.endpoint.server not in replaced] + gone
+
     def _listed_endpoint(self, entry: ParsedEntry) -> ListedEndpoint:
         started_at_ns = 0
         if entry.started_at_unix_ms is not None:
--- a/tests/node/test_endpoint_directory.py
+++ b/tests/node/test_endpoint_directory.py
@@ -21,6 +21,35 @@
     return EndpointDirectory(read_names(info()), 1, ConnectionPools(64, 0.25, 60.0), updates.append), updates
 
 
+@pytest.mark.parametrize("is_whole", [True, False])
+async def test_a_server_whose_address_a_newer_one_has_taken_over_is_gone(is_whole: bool) -> None:
+    """A new process at the address of one that had gone got the full load of that one, still listed.
+
+    It needs its slow start, and holds other keys.
+    """
+    directory, updates = make_directory()
+    boot = time.time_ns() // 1_000_000
+    old, other = entry("c0", "127.0.0.1:1"), entry("c1", "127.0.0.1:2", boot_ms=boot - 5000)
+    directory.apply(listing(1, old, other), cached=True)
+    new = entry("c9", "127.0.0.1:1", boot_ms=boot)
+    directory.apply(listing(2, old, other, new) if is_whole else listing(2, new, whole=False))
+    assert sorted(directory.targets) == sorted(directory.pools.pools) == ["c1", "c9"]
+    states = {endpoint.server: endpoint.state for endpoint in updates[-1].entries}
+    assert states.pop("c0", api.EndpointState.GONE) is api.EndpointState.GONE
+    assert states["c9"] is api.EndpointState.READY
+    directory.apply(listing(3, old, whole=False))  # told late, or again
+    assert sorted(directory.targets) == ["c1", "c9"]
+    directory.apply(listing(4, old, other))  # the newer one has gone
+    assert sorted(directory.targets) == ["c0", "c1"]
+
+
+async def test_servers_that_started_at_the_same_time_may_share_an_address() -> None:
+    directory, _ = make_directory()
+    shared = [entry(name, "127.0.0.1:1") for name in ("c0", "c1")]
+    directory.apply(listing(1, *shared), cached=True)
+    assert sorted(directory.targets) == ["c0", "c1"]
+
+
 async def test_a_list_becomes_an_update_with_names_as_indexes_and_start_times_on_the_clock() -> None:
     directory, updates = make_directory()
     boot = time.time_ns() // 1_000_000 - 1000
