Bytes that a slow reader has read meanwhile are counted no longer

Cause: what a transport had not sent when a client's last command was answered stayed counted against the memory of all clients until that client's next command, up to 64 KB each: below its high-water mark the transport does not tell that it has sent the rest.

Test: test_what_a_slow_reader_has_read_by_now_is_counted_no_longer fails before and passes now.

--- a/rainhitch/node/client_connections.py
+++ b/rainhitch/node/client_connections.py
@@ -172,10 +172,14 @@
         """Ends connections with an overdue command; above half the cap, also closes idle ones: see `admit`.
 
         Limits the time of clients that send nothing, half a command, or a byte now and then, and closes the
-        connections of those that have left within a long value.
+        connections of those that have left within a long value. Counts buffered bytes anew, as the transport
+        does not tell when it has sent its last ones.
         """
         for client in self.activity.overdue(self.unfinished_command_limit_s):
             client.end_unfinished_command()
+        for client in self.connections:
+            if client.flow.buffered_bytes:
+                client.update_buffered_bytes()
         for client in list(self.activity.relaying):
             client.has_disconnected()  # closes it then: the loop reports no end while nothing is read
         if len(self.connections) > self.max_open // 2:
--- a/tests/node/test_client_connection.py
+++ b/tests/node/test_client_connection.py
@@ -145,6 +145,32 @@
         assert max(written) <= MAX_WRITE_BYTES
 
 
+async def test_what_a_slow_reader_has_read_by_now_is_counted_no_longer() -> None:
+    """Bytes that had been sent meanwhile stayed counted until the client's next command.
+
+    Hundreds of clients that had read their answers slowly kept the memory of all clients used up.
+    """
+    async with router(lambda asked, line: hit(bytes(40_000))) as bench:
+        with socket.socket() as raw:
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            raw.setblocking(False)
+            loop = asyncio.get_running_loop()
+            await loop.sock_connect(raw, ("127.0.0.1", bench.port))
+            (client,) = await wait_until(lambda: list(bench.clients.connections))
+            assert client.transport is not None
+            connection = client.transport.get_extra_info("socket")
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+            await loop.sock_sendall(raw, reads(1))
+            await wait_until(lambda: bench.clients.buffered_bytes)
+            received = 0
+            while received < len(b"$40000\r\n") + 40_000 + len(b"\r\n"):
+                received += len(await loop.sock_recv(raw, 65_536))
+            assert (
+                not client.responses.write_buffer_full
+            )  # it never was: the rest is under the high-water mark
+            await wait_until(lambda: not bench.clients.buffered_bytes)
+
+
 async def test_answers_whose_turn_has_not_come_are_counted_and_bounded() -> None:
     """Responses held behind a slow one must count against the memory limit.
 
