A drain in an entry of discovery that can't be read is asked for again

Cause: EndpointDirectory.apply took over the version of an answer that it could read in part, so that each later watch asked for what is newer, and discovery tells a change once. In a whole list the server was removed.

Change: what is known of a server whose entry can't be read stays. The call counts as failed, so that the whole list is asked for, up to three times in a row, as an entry may stay unreadable.

Tests: three cases fail without the change and pass now (a fourth, the entry in a change that is left as it is, passed before).

--- a/rainhitch/node/discovery_watch.py
+++ b/rainhitch/node/discovery_watch.py
@@ -24,6 +24,7 @@
 LIST_PATH = "/api/targets"
 HTTP_OK = 200
 MAX_LIST_BYTES = 1 << 20  # limit to protect the router's small memory; an entry has about 150 bytes
+MAX_REREADS = 3  # calls in a row for the whole list because of unreadable entries
 LOOP_ITERATION_S = 0.001  # time for the event loop to read its sockets once more
 # Each pause is multiplied by a random fraction, so that routers do not call discovery in step.
 MIN_JITTER_FRACTION = 0.5
@@ -143,6 +144,7 @@
         self.connection: _DiscoveryConnection | None = None
         self.task: asyncio.Task[None] | None = None
         self.stopped = False
+        self.reread_count = 0  # calls in a row whose response had unreadable entries
         self.counts = directory.pools.counts
         self.last_response_at_s = 0.0  # loop time of the last successful response; 0 if none
 
@@ -228,6 +230,19 @@
         if response.status != HTTP_OK:
             raise HttpError(f"expected status {HTTP_OK}, got {response.status}")
         self.directory.apply(orjson.loads(bytes(response.body)))
+        self._check_readable()
+
+    def _check_readable(self) -> None:
+        """Raises EndpointListError if an entry could not be read, so that the whole list is asked for.
+
+        Discovery tells a change once: without that, a drain in an unreadable entry would stay unknown. After
+        MAX_REREADS calls in a row the list is accepted, as the entry may stay unreadable.
+        """
+        unreadable_count = self.directory.unreadable_count
+        if unreadable_count and self.reread_count < MAX_REREADS:
+            self.reread_count += 1
+            raise EndpointListError(f"expected readable entries, got {unreadable_count} unreadable")
+        self.reread_count = 0
 
     async def _get(self, target: str) -> HttpResponse:
         connection = await self._connected()
--- a/rainhitch/node/endpoint_directory.py
+++ b/rainhitch/node/endpoint_directory.py
@@ -73,6 +73,7 @@
         self.cache_connection_class: type[CacheConnection] = CacheConnection
         self.source_changed = False  # the next list is from another source, with versions of its own
         self.targets: dict[str, ListedEndpoint] = {}
+        self.unreadable_count = 0  # entries that could not be read in the list that was applied last
         self.cordoned: set[str] = set()  # treated as draining, whatever state the list gives
         # Read once, so that a start time that is listed again maps to the same time on the router's clock.
         self.unix_offset_ns = pools.system.unix_ns() - pools.system.now()
@@ -95,6 +96,7 @@
         `cached` marks the list in the configuration, which is complete. Returns whether the list is at least
         as new as the current one. Raises EndpointListError if the list is invalid.
         """
+        self.unreadable_count = 0
         endpoint_list = read_list(document)
         is_whole = endpoint_list.is_whole or cached
         if not self._must_apply(endpoint_list.version, is_whole):
@@ -147,13 +149,17 @@
         return version > self.version
 
     def _parse_entries(self, endpoint_list: EndpointList) -> list[ListedEndpoint]:
-        """Returns the valid entries; logs and skips the others."""
+        """Returns the valid entries; logs the others, of which what is known stays as it is."""
         endpoints = []
         for row in endpoint_list.rows:
             try:
                 endpoints.append(self._listed_endpoint(read_entry(row, self.names)))
             except EndpointListError as problem:
                 log.warning("endpoint list entry skipped reason=%s", problem)
+                self.unreadable_count += 1
+                name = row.get("uid") if isinstance(row, dict) else None
+                if isinstance(name, str) and name in self.targets:
+                    endpoints.append(self.targets[name])
         return endpoints
 
     def _without_replaced(self, endpoints: list[ListedEndpoint], is_whole: bool) -> list[ListedEndpoint]:
--- a/tests/node/test_discovery_watch.py
+++ b/tests/node/test_discovery_watch.py
@@ -10,7 +10,7 @@
 
 from rainhitch import interface as api
 from rainhitch.node.connection_pool import ConnectionPools
-from rainhitch.node.discovery_watch import DiscoveryWatch, failure_label
+from rainhitch.node.discovery_watch import MAX_REREADS, DiscoveryWatch, failure_label
 from rainhitch.node.endpoint_directory import EndpointDirectory
 from rainhitch.node.endpoint_list import EndpointListError
 from rainhitch.node.polling import PollTimes
@@ -62,6 +62,44 @@
     await discovery.stop()
 
 
+async def test_a_change_in_an_entry_that_could_not_be_read_is_asked_for_again() -> None:
+    """A drain was missed for good: discovery tells a change once, and the answer with it counted as read."""
+    spoilt = entry("c0", "127.0.0.1:1", state="Terminat?ng")
+    drained = entry("c0", "127.0.0.1:1", state="Terminating")
+    script = [
+        whole_list(7, entry("c0", "127.0.0.1:1")),
+        whole_list(8, spoilt, whole=False),
+        whole_list(8, drained),
+    ]
+    discovery = HttpPeer(lambda asked, line: script.pop(0) if script else None)
+    await discovery.start()
+    directory, _ = make_directory()
+    host, _, port = discovery.address.partition(":")
+    watch = DiscoveryWatch((host, int(port)), directory, 1, polled=False)
+    watch.start()
+    await wait_until(lambda: directory.targets and not directory.can_serve)
+    targets = [asked[1].partition(b"&")[0] for asked in discovery.received]
+    assert targets[:3] == [b"/api/targets", b"/api/targets?from=7", b"/api/targets"]
+    watch.stop()
+    await discovery.stop()
+
+
+async def test_an_entry_that_stays_unreadable_is_asked_for_a_few_times_only() -> None:
+    """The changes of all other servers must stay known in time, at the cost of a watch."""
+    answer = whole_list(7, entry("c0", "127.0.0.1:1"), entry("c1", "127.0.0.1:1", model="m99"))
+    discovery = HttpPeer(lambda asked, line: None if b"from" in asked[1] else answer)
+    await discovery.start()
+    directory, _ = make_directory()
+    host, _, port = discovery.address.partition(":")
+    watch = DiscoveryWatch((host, int(port)), directory, 1, polled=False)
+    watch.start()
+    await wait_until(lambda: any(b"from=7" in asked[1] for asked in discovery.received))
+    assert len(discovery.received) == 1 + MAX_REREADS + 1
+    assert directory.can_serve and watch.reread_count == 0
+    watch.stop()
+    await discovery.stop()
+
+
 async def test_where_lists_are_polled_a_failure_is_reported_to_the_decisions() -> None:
     discovery = HttpPeer(lambda asked, line: http(503))
     await discovery.start()
--- a/tests/node/test_endpoint_directory.py
+++ b/tests/node/test_endpoint_directory.py
@@ -76,6 +76,22 @@
     assert len(updates) == 1 and directory.version == 5 and directory.can_serve
 
 
+@pytest.mark.parametrize("is_whole", [True, False])
+async def test_what_is_known_of_a_server_stays_while_its_entry_is_unreadable(is_whole: bool) -> None:
+    """One unreadable entry must neither remove a server that is in use nor change it."""
+    directory, updates = make_directory()
+    known = [entry("c0", "127.0.0.1:1"), entry("c1", "127.0.0.1:2")]
+    directory.apply(listing(1, *known))
+    changed = [entry("c0", "127.0.0.1:1", state="Dreaming"), entry("c1", "127.0.0.1:2", state="Terminating")]
+    directory.apply(listing(2, *changed, whole=is_whole))
+    assert directory.unreadable_count == 1
+    states = {name: listed.endpoint.state for name, listed in directory.targets.items()}
+    assert states == {"c0": api.EndpointState.READY, "c1": api.EndpointState.DRAINING}
+    assert {endpoint.server for endpoint in updates[-1].entries} >= {"c1"}
+    directory.apply(listing(3, *known))
+    assert directory.unreadable_count == 0
+
+
 async def test_an_unreadable_entry_is_skipped_and_logged_and_the_others_stand(
     caplog: pytest.LogCaptureFixture,
 ) -> None:
