--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -13,6 +13,7 @@
 # By name; what each measures.
 BENCHMARKS = {
     "callbacks": "CPU time of a router's callbacks by kind (the cost table of virtual time)",
+    "client_pressure": "peak memory, and what usual clients get beside clients that press on memory or time",
     "fleet": "service behind 3 to 300 routers with the same load and servers, in virtual time",
     "gossip": "CPU time of a gossip datagram beside that of a request",
     "growth": "load on the database while cache servers join and leave",
