Requests that are withdrawn in a pause leave no attempt in flight behind them

Cause: after a pause DecisionLoop._settle handles withdrawals first. That of a request that waits too was ignored, then the request was decided, and an attempt started for a request that was over, whose end nobody reported: one in flight too many at its server, for good.

Change: a request that is withdrawn behind it is left out with its withdrawal (without_withdrawn), and the end of an attempt for a request that is over is reported (RequestDriver._end_unknown_attempt).

--- a/rainhitch/node/decision_loop.py
+++ b/rainhitch/node/decision_loop.py
@@ -8,7 +8,7 @@
 import asyncio
 import logging
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from rainhitch import interface as api
 from rainhitch.fleet.pause_detector import SETTLE_NS as PAUSE_SETTLE_NS
@@ -24,6 +24,23 @@
 log = logging.getLogger("rainhitch")
 
 
+def without_withdrawn(events: Iterable[api.Event]) -> list[api.Event]:
+    """Returns the events without each request that is withdrawn behind it, and without its withdrawal.
+
+    The Balancer has not heard of such a request. Were the withdrawal handled first, it would be ignored, and
+    an attempt would start for a request that is over, whose end nobody reports.
+    """
+    kept: list[api.Event | None] = list(events)
+    place_of: dict[str, int] = {}  # of the latest request of an id
+    for place, event in enumerate(list(kept)):
+        if isinstance(event, api.Request):
+            place_of[event.id] = place
+        elif isinstance(event, api.ClientGone) and event.id in place_of:
+            kept[place_of.pop(event.id)] = None
+            kept[place] = None
+    return [event for event in kept if event is not None]
+
+
 class DecisionLoop:
     """The event queue of one Balancer.
 
@@ -75,8 +92,9 @@
 
     def _settle(self) -> None:
         self._settling = False
+        events = without_withdrawn(self._events)
         # The sort is stable: within each group, events are handled in the order of arrival.
-        self._events = deque(sorted(self._events, key=lambda event: not isinstance(event, FIRST_AFTER_PAUSE)))
+        self._events = deque(sorted(events, key=lambda event: not isinstance(event, FIRST_AFTER_PAUSE)))
         self._handle_all()
 
     def _handle_all(self) -> None:
--- a/rainhitch/node/request_driver.py
+++ b/rainhitch/node/request_driver.py
@@ -206,7 +206,7 @@
             case api.StartAttempt():
                 request = self.requests.get(action.id)
                 if request is None:
-                    log.error("attempt for an unknown request id=%s", action.id)
+                    self._end_unknown_attempt(action)
                 else:
                     self.attempts.start(request, action)
             case api.CancelAttempt():
@@ -226,6 +226,14 @@
             case api.LogLine():
                 log.info("%s", action.text)
 
+    def _end_unknown_attempt(self, action: api.StartAttempt) -> None:
+        """Reports the end of an attempt whose request is over, which else counts as in flight for good."""
+        log.error("attempt for an unknown request id=%s", action.id)
+        pending = self.balancer.requests.get(action.id)
+        number = 0 if pending is None else pending.attempts_started - 1
+        status = api.AttemptStatus.ABANDONED
+        self.decision_loop.handle(api.AttemptFinished(action.id, number, action.server, status, True, 0))
+
     def _reject_or_fail(self, action: api.Reject | api.Fail) -> None:
         request = self.requests.get(action.id)
         if request is None or not request.is_open():
