An attempt that has timed out ends before its request, however late its timer is

The client got the same answer.

Cause, traced: AttemptRunner.start reads the clock and starts the attempt's timer a little later. A delay of over 4 ms in between makes that timer due after the request's own, which is set 4 ms past the deadline.

Change: when a request's deadline has passed, its attempt is timed out first.

Test: test_an_attempt_whose_timer_is_late_ends_before_its_request fails before and passes now.

--- a/rainhitch/node/request_driver.py
+++ b/rainhitch/node/request_driver.py
@@ -168,13 +168,17 @@
             self.deadline_passed(request)
 
     def deadline_passed(self, request: InFlightRequest) -> None:
-        """Fails a request whose deadline has passed, unless its attempt has a response to be read."""
-        if (
-            request.is_open()
-            and request.attempt is not None
-            and self.attempts.extend_timeout(request.attempt)
-        ):
-            return
+        """Fails a request whose deadline has passed, unless its attempt has a response to be read.
+
+        Its attempt has timed out too: a delay between a reading of the clock and the start of the attempt's
+        timer makes that one late. The Balancer is told in the usual order.
+        """
+        attempt = request.attempt
+        if request.is_open() and attempt is not None:
+            if self.attempts.extend_timeout(attempt):
+                return
+            if self.clock.now() >= request.deadline_ns:
+                self.attempts.time_out(attempt)
         self._fail_request(request)
 
     def _fail_request(self, request: InFlightRequest) -> None:
--- a/tests/node/test_races.py
+++ b/tests/node/test_races.py
@@ -22,14 +22,15 @@
 from program import ROOT, configuration, listing, started
 
 from rainhitch import interface as api
+from rainhitch.node import attempt_runner, close_timer, connection_pool, upstream_connection
 from rainhitch.node import client_connection as client_module
 from rainhitch.node import client_connections as clients_module
-from rainhitch.node import close_timer, connection_pool, upstream_connection
 from rainhitch.node.client_connections import ClientConnections
 from rainhitch.node.close_reason import CloseReason
 from rainhitch.node.configuration import parse_configuration
 from rainhitch.node.discovery_watch import DiscoveryWatch
 from rainhitch.node.endpoint_list import read_address
+from rainhitch.node.in_flight_request import Attempt
 from rainhitch.node.read_flow import MAX_PIPELINED_COMMANDS
 from rainhitch.node.router import Router
 from rainhitch.node.shutdown import shutdown_schedule
@@ -446,6 +447,38 @@
         raw.close()
 
 
+async def test_an_attempt_whose_timer_is_late_ends_before_its_request(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A delay of 4 ms between the reading of the clock and the timer made the request end first.
+
+    The decisions then took the time-out for an attempt whose client had left.
+    """
+
+    def make_late(*arguments: Any) -> Attempt:
+        time.sleep(0.02)
+        return Attempt(*arguments)
+
+    monkeypatch.setattr(attempt_runner, "Attempt", make_late)
+    async with router(lambda asked, line: None) as bench:
+        events: list[api.Event] = []
+        handle = bench.driver.balancer.handle
+
+        def recorded(now: int, event: api.Event) -> list[api.Action]:
+            events.append(event)
+            return handle(now, event)
+
+        monkeypatch.setattr(bench.driver.balancer, "handle", recorded)
+        caller = await bench.caller()
+        caller.get(name=b"i1", info=b"c=once,t=acme,d=200")
+        assert str(await caller.answer()) == "ERR failed"
+        finished = [event for event in events if isinstance(event, api.AttemptFinished)]
+        assert [(event.status, event.request_finished) for event in finished] == [
+            (api.AttemptStatus.TIMEOUT, False)
+        ]
+        assert not any(isinstance(event, api.ClientGone) for event in events)
+
+
 # The router was stopped, and sockets are read before timers run
 
 
