Shared ids: a process number that is used again, and files of killed processes

What was found, by reading the change again: the table of a process that has ended is kept for 60 s under its number, and a new process with that number was taken for it. A process that is killed left its file of 512 KB in the folder for good, which counts as memory.

Change: a number that comes back is mapped anew; a process that opens its endpoint removes the files of processes that run no more.

Tests: tests/admin/test_shared_ids.py; the one of the number fails before. Measured: tests/admin passes.

--- a/rainhitch/admin/endpoint.py
+++ b/rainhitch/admin/endpoint.py
@@ -54,6 +54,7 @@
         self.shared_ids.publish()
         self.upgrade_peers.register()
         self._check_folder()
+        self.shared_ids.remove_files_except(self.upgrade_peers.others)
         return await self.server.open(host, port)
 
     def _check_folder(self) -> None:
--- a/rainhitch/admin/shared_ids.py
+++ b/rainhitch/admin/shared_ids.py
@@ -1,7 +1,7 @@
 """Shares the executed ids of a router's processes during an upgrade, by a file of each in their folder.
 
 A process maps its own file to write, and the files of the others to read. Where the folder can't be written,
-its ids stay its own.
+its ids stay its own. The file of a process that was killed is removed by the next one that finds it.
 """
 
 import contextlib
@@ -43,6 +43,9 @@
 
     def read_from(self, processes: set[int], now: int) -> None:
         """Reads the ids of these other processes, and still those of processes that have ended lately."""
+        for process in processes & self.ended_at.keys():
+            del self.ended_at[process]  # its number belongs to a new process
+            del self.tables[process]
         for process in processes - self.tables.keys():
             self._map(process)
         for process in self.tables.keys() - processes:
@@ -61,6 +64,16 @@
             mapped = mmap.mmap(file.fileno(), TABLE_BYTES, access=mmap.ACCESS_READ)
             self.tables[process] = as_words(memoryview(mapped))
 
+    def remove_files_except(self, processes: set[int]) -> None:
+        """Removes the files of processes that run no more; those of this one and of `processes` stay."""
+        if self.folder is None:
+            return
+        kept = {f"{self.prefix}{process}" for process in (os.getpid(), *processes)}
+        with contextlib.suppress(OSError):
+            for name in os.listdir(self.folder):
+                if name.startswith(self.prefix) and name not in kept:
+                    os.unlink(os.path.join(self.folder, name))
+
     def withdraw(self) -> None:
         """Removes this process's file."""
         if self.folder is not None:
