--- a/benchmarks/client_pressure.py
+++ b/benchmarks/client_pressure.py
@@ -18,13 +18,20 @@
 import threading
 import time
 from collections import Counter
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
-from benchmarks.rig import comma_list, parser_for, print_row, print_table_header, start_router
+from benchmarks.rig import (
+    comma_list,
+    listed_server,
+    parser_for,
+    print_row,
+    print_table_header,
+    start_router,
+)
 from rainhitch.protocol.resp import MAX_RELAYED_VALUE_BYTES, command
 from rainhitch.protocol.resp2_reader import Resp2Reader
 
@@ -259,23 +266,9 @@
     writer.close()
 
 
-def entries(ports: list[int]) -> Iterator[dict[str, Any]]:
-    """The endpoint list's entries of cache servers at these ports."""
-    for number, port in enumerate(ports):
-        yield {
-            "uid": f"c{number}",
-            "endpoint": f"{HOST}:{port}",
-            "az": "a",
-            "model": "std",
-            "pod_group": 0,
-            "state": "Ready",
-            "capacity_hint": 1.0,
-            "boot_ms": 0,
-        }
-
-
 def configuration(limits: Limits, ports: list[int]) -> dict[str, Any]:
     """The router's configuration; there is no discovery."""
+    targets = [listed_server(f"c{number}", f"{HOST}:{port}", "a", "std") for number, port in enumerate(ports)]
     usual = {"aim": NS_PER_S, "deadline": 2 * NS_PER_S, "lateWorth": 0.5}
     keyed = {"effect": "keyed", "group": "all", "repeatWindow": 5 * NS_PER_S}
     return {
@@ -283,7 +276,7 @@
         "discovery": f"{HOST}:1",
         "seed": "8c1f30d27a5be964",
         "limits": {"cores": 1.0, "memory_mb": limits.memory_mb, "sockets": limits.sockets},
-        "known": {"rev": 1, "all": True, "targets": list(entries(ports))},
+        "known": {"rev": 1, "all": True, "targets": targets},
         "settings": {
             "azs": ["a", "b"],
             "hostTypes": ["std", "origin"],
--- a/benchmarks/rig.py
+++ b/benchmarks/rig.py
@@ -128,11 +128,16 @@
 
 def endpoint_row(scenario: Scenario, uid: str, address: str, state: str) -> Json:
     """An entry of the endpoint list, of the scenario's first zone and kind of server."""
+    return listed_server(uid, address, scenario.fleet.rooms[0], scenario.fleet.nodes[0].name, state)
+
+
+def listed_server(uid: str, address: str, zone: str, kind: str, state: str = "Ready") -> Json:
+    """An entry of the endpoint list."""
     return {
         "uid": uid,
         "endpoint": address,
-        "az": scenario.fleet.rooms[0],
-        "model": scenario.fleet.nodes[0].name,
+        "az": zone,
+        "model": kind,
         "pod_group": 0,
         "state": state,
         "capacity_hint": 1.0,
--- a/rainhitch/__main__.py
+++ b/rainhitch/__main__.py
@@ -11,7 +11,7 @@
         from rainhitch.cli import run
 
         return run(arguments)
-    # Held from here on, so that a reload asked for during the import of the router is not lost or deadly.
+    # Guards against a SIGHUP during the import of the router, which would end the process.
     signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
     from rainhitch.program import main as run_router
 
--- a/rainhitch/admin/upgrade_peers.py
+++ b/rainhitch/admin/upgrade_peers.py
@@ -15,9 +15,13 @@
         self.folder = folder
         self.prefix = f"rainhitch-{identity}.process."
         self.own_path = None if folder is None else os.path.join(folder, f"{self.prefix}{os.getpid()}")
-        self.count = 1
         self.others: set[int] = set()  # process ids of the others
 
+    @property
+    def count(self) -> int:
+        """How many processes ran at the last count, this one included."""
+        return 1 + len(self.others)
+
     def register(self) -> None:
         """Makes this process known, and counts."""
         if self.own_path is not None:
@@ -33,7 +37,6 @@
                 names = [name for name in os.listdir(self.folder) if name.startswith(self.prefix)]
                 numbers = [name.removeprefix(self.prefix) for name in names]
         self.others = {int(number) for number in numbers if _is_other_process(number)}
-        self.count = 1 + len(self.others)
         return self.count
 
     def unregister(self) -> None:
--- a/rainhitch/node/attempt_runner.py
+++ b/rainhitch/node/attempt_runner.py
@@ -12,6 +12,7 @@
 
 import asyncio
 import logging
+from functools import partial
 from typing import Protocol
 
 from rainhitch import interface as api
@@ -199,9 +200,13 @@
         request = attempt.request
         if not attempt.is_in_flight() or request.state is not REQUEST_OPEN:
             return None
-        sink = request.sink
-        if not sink.is_followed() or not sink.may_store(size_bytes):
-            return self._start_relay(attempt, source, size_bytes)
+        if request.sink.is_followed() and request.sink.may_store(size_bytes):
+            return self._start_storing(attempt, source, size_bytes)
+        return self._start_relay(attempt, source, size_bytes)
+
+    def _start_storing(self, attempt: Attempt, source: RelaySource, size_bytes: int) -> StoredValue:
+        """Starts to store a long value, for as long as its request may wait."""
+        request = attempt.request
         attempt.value_began_at_ns = self.clock.now()
         # Like a relayed value, one that arrives slowly is not cut off by the timeout of its attempt, which
         # guards against a server that does not answer at all.
@@ -209,11 +214,7 @@
             attempt.timeout_timer.cancel()
         left_s = (request.deadline_ns - attempt.value_began_at_ns) / NS_PER_S
         attempt.timeout_timer = self.loop.call_later(max(0.0, left_s), self.time_out, attempt)
-
-        def reserve() -> bool:
-            return request.state is REQUEST_OPEN and sink.reserve_value(size_bytes)
-
-        return StoredValue(self.loop, source, size_bytes, reserve)
+        return StoredValue(self.loop, source, size_bytes, partial(_reserve_value, request, size_bytes))
 
     def stop_storing(self, attempt: Attempt) -> None:
         """Ends an attempt whose value was being stored for a client that has disconnected."""
@@ -242,7 +243,7 @@
         request = attempt.request
         status = result.status
         answered_at_ns = self.clock.now()
-        if attempt.is_storing_value() and status is api.AttemptStatus.OK:
+        if attempt.has_stored_value() and status is api.AttemptStatus.OK:
             # As for a relayed value: its size says nothing about the server's load.
             answered_at_ns = attempt.value_began_at_ns
         elapsed_ns = self.decision_loop.pause_detector.running_time_ns(answered_at_ns, attempt.started_at_ns)
@@ -267,3 +268,8 @@
                 connection_reused=reused,
             )
         )
+
+
+def _reserve_value(request: InFlightRequest, size_bytes: int) -> bool:
+    """Returns whether there is memory for a request's value of `size_bytes`; if so, reserves it."""
+    return request.state is REQUEST_OPEN and request.sink.reserve_value(size_bytes)
--- a/rainhitch/node/in_flight_request.py
+++ b/rainhitch/node/in_flight_request.py
@@ -89,7 +89,7 @@
     value_began_at_ns: int = 0  # time at which the long value that is stored for it began; 0 if there is none
     timeout_extended: bool = False  # whether it timed out with a response unread and got more time to read it
 
-    def is_storing_value(self) -> bool:
+    def has_stored_value(self) -> bool:
         """Returns whether a long value is or was stored for this attempt."""
         return self.value_began_at_ns != 0
 
--- a/rainhitch/node/relay.py
+++ b/rainhitch/node/relay.py
@@ -85,7 +85,7 @@
             self.source.pause_reading()
 
     def finish(self) -> None:
-        """Records that the value is complete and that the data after it is valid; it has been forwarded."""
+        """Records that the value is complete and that the data after it is valid."""
         if self.state is RelayState.RECEIVING:
             self.state = RelayState.COMPLETE
         self.notify_client()
--- a/rainhitch/node/request_driver.py
+++ b/rainhitch/node/request_driver.py
@@ -150,7 +150,7 @@
         self.decision_loop.handle(api.ClientGone(request.id))
         if request.attempt is not None:
             self.attempts.abandon_if_unwritten(request.attempt)
-        if request.attempt is not None and request.attempt.is_storing_value():
+        if request.attempt is not None and request.attempt.has_stored_value():
             self.attempts.stop_storing(request.attempt)
         self.remove_if_finished(request)
 
--- a/rainhitch/node/response_queue.py
+++ b/rainhitch/node/response_queue.py
@@ -166,10 +166,10 @@
         ready_bytes = 0
         while self.slots and not self.write_buffer_full and self.transport is not None:
             slot = self.slots[0]
-            size_bytes = self._size_if_short(slot)
-            if size_bytes and ready_bytes + size_bytes <= MAX_WRITE_BYTES:
-                ready.append(slot.response or b"")
-                ready_bytes += size_bytes
+            response = self._short_response(slot)
+            if response is not None and ready_bytes + len(response) <= MAX_WRITE_BYTES:
+                ready.append(response)
+                ready_bytes += len(response)
             elif ready:
                 self._write(ready)
                 ready_bytes = 0
@@ -183,15 +183,14 @@
             self.waiting_bytes = sum(_held_bytes(slot) for slot in self.slots)
         return wrote
 
-    def _size_if_short(self, slot: ResponseSlot) -> int:
-        """Returns the size of a slot's response in bytes; 0 if it is not ready or not written at once."""
+    def _short_response(self, slot: ResponseSlot) -> bytes | None:
+        """Returns a slot's response; None if it is not ready, or is too long to be written at once."""
         if slot.relay is not None and slot.relay.is_broken() and not slot.relay.head_written:
             slot.response = resp.FAILED_REPLY
             slot.relay = None
-        if slot.relay is not None or slot.response is None or slot.sent_bytes:
-            return 0
-        size_bytes = len(slot.response)
-        return size_bytes if size_bytes <= MAX_WRITE_BYTES else 0
+        if slot.relay is not None or slot.response is None or len(slot.response) > MAX_WRITE_BYTES:
+            return None
+        return slot.response
 
     def _write(self, ready: list[bytes]) -> None:
         """Writes responses together, and empties the list."""
--- a/rainhitch/node/stored_value.py
+++ b/rainhitch/node/stored_value.py
@@ -9,6 +9,8 @@
        |                               |
        '--the attempt ends, the client disconnects, or the server's connection is lost--> DROPPED
 
+A value that is whole is DROPPED too, once the attempt has it.
+
 WAITING bounds the memory that stored values use: the server is not read meanwhile, beyond what one read has
 delivered. A value that waits holds no memory that another one waits for, so that they can't block each other.
 The attempt's time limit applies in both states.
@@ -18,8 +20,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
-from typing import Protocol
 
+from rainhitch.node.relay import RelaySource
 from rainhitch.protocol.resp import MAX_RELAYED_VALUE_BYTES
 
 RESERVE_RETRY_INTERVAL_S = 0.01
@@ -35,16 +37,6 @@
     DROPPED = "dropped"
 
 
-class PausableSource(Protocol):
-    """The server's side of a stored value."""
-
-    def pause_reading(self) -> None:
-        """Pauses reading from the server."""
-
-    def resume_reading(self) -> None:
-        """Resumes reading from the server."""
-
-
 @dataclass(frozen=True, slots=True)
 class EncodedValue:
     """A value that is encoded as the client receives it: a bulk string, alike in RESP2 and RESP3."""
@@ -58,7 +50,7 @@
     def __init__(
         self,
         loop: asyncio.AbstractEventLoop,
-        source: PausableSource,
+        source: RelaySource,
         size_bytes: int,
         reserve: Callable[[], bool],
     ) -> None:
@@ -104,11 +96,14 @@
         """Returns the value, which is whole and followed by valid data."""
         self.encoded[self.end :] = LINE_END
         value = EncodedValue(bytes(self.encoded))
-        self.fail()
+        self._drop()
         return value
 
     def fail(self) -> None:
-        """Drops the value: its attempt is over."""
+        """Drops what has arrived: the attempt is over, or the rest of the value will never arrive."""
+        self._drop()
+
+    def _drop(self) -> None:
         self.state = StoredValueState.DROPPED
         self.pending = bytearray()
         self.encoded = bytearray()
--- a/rainhitch/program.py
+++ b/rainhitch/program.py
@@ -66,7 +66,7 @@
     """Runs the router and returns the exit code."""
     logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s")
     # Guards against a SIGHUP before its handler is set: the signal stays pending, and the reload still runs.
-    # Before that, the deploy file's line has it ignored: the file is read after this, and so anew anyway.
+    # One that came earlier needs no reload, as the configuration is read only now.
     signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
     path = os.environ.get("BALANCER_CONFIG")
     try:
--- a/tests/admin/test_endpoint.py
+++ b/tests/admin/test_endpoint.py
@@ -9,6 +9,7 @@
 from collections.abc import AsyncIterator, Iterator
 from dataclasses import replace
 from pathlib import Path
+from typing import Any
 
 import pytest
 from peers import PATIENCE, Bench, Cache, Caller, HttpPeer, entry, hit, http, router, wait_until
@@ -180,6 +181,31 @@
     return host, int(port)
 
 
+async def start_beside(environment: dict[str, str], held: socket.socket) -> asyncio.subprocess.Process:
+    """Starts a process of a router whose listening socket is held by the platform."""
+    return await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "rainhitch",
+        cwd=ROOT,
+        env=environment,
+        pass_fds=[held.fileno()],
+        stderr=asyncio.subprocess.PIPE,
+    )
+
+
+def upgrade_environment(folder: Path, held: socket.socket, discovery: str, *known: Any) -> dict[str, str]:
+    """The environment of both processes, which share the socket and the folder."""
+    environment = configuration(
+        folder,
+        listen="127.0.0.1:1",
+        admin_addr="127.0.0.1:0",
+        discovery=discovery,
+        known=listing(1, *known),
+    )
+    return environment | {"TMPDIR": str(folder), "BALANCER_SOCKET_FD": str(held.fileno())}
+
+
 async def test_an_upgrade_loses_no_request_and_keeps_the_cordons(tmp_path: Path) -> None:
     """Two processes share one inherited socket and one folder, while a client asks all the time.
 
@@ -191,25 +217,7 @@
         await peer.start()
     entries = [entry("c0", cache.address), entry("c1", cache.address)]
     with shared_listener() as held:
-        environment = configuration(
-            tmp_path,
-            listen="127.0.0.1:1",
-            admin_addr="127.0.0.1:0",
-            discovery=agent.address,
-            known=listing(1, *entries),
-        )
-        environment |= {"TMPDIR": str(tmp_path), "BALANCER_SOCKET_FD": str(held.fileno())}
-
-        async def start() -> asyncio.subprocess.Process:
-            return await asyncio.create_subprocess_exec(
-                sys.executable,
-                "-m",
-                "rainhitch",
-                cwd=ROOT,
-                env=environment,
-                pass_fds=[held.fileno()],
-                stderr=asyncio.subprocess.PIPE,
-            )
+        environment = upgrade_environment(tmp_path, held, agent.address, *entries)
 
         async def ping() -> bool:
             reader, writer = await asyncio.open_connection(*held.getsockname())
@@ -218,12 +226,12 @@
             writer.close()
             return received == b"+PONG\r\n"
 
-        old = await start()
+        old = await start_beside(environment, held)
         try:
             await started(old)
             first = await second_address(old)
             assert (await call(first, b"cordon c1"))[0].startswith("OK")
-            new = await start()
+            new = await start_beside(environment, held)
             try:
                 await started(new)
                 second = await second_address(new)
@@ -263,26 +271,11 @@
         await peer.start()
     entries = [entry("c0", cache.address)]
     with shared_listener() as held:
-        environment = configuration(
-            tmp_path,
-            listen="127.0.0.1:1",
-            admin_addr="127.0.0.1:0",
-            discovery=agent.address,
-            known=listing(1, *entries),
-        )
-        environment |= {"TMPDIR": str(tmp_path), "BALANCER_SOCKET_FD": str(held.fileno())}
+        environment = upgrade_environment(tmp_path, held, agent.address, *entries)
         processes: list[asyncio.subprocess.Process] = []
 
         async def start() -> asyncio.subprocess.Process:
-            process = await asyncio.create_subprocess_exec(
-                sys.executable,
-                "-m",
-                "rainhitch",
-                cwd=ROOT,
-                env=environment,
-                pass_fds=[held.fileno()],
-                stderr=asyncio.subprocess.PIPE,
-            )
+            process = await start_beside(environment, held)
             processes.append(process)
             await started(process)
             await second_address(process)
--- a/tests/node/test_discovery_watch.py
+++ b/tests/node/test_discovery_watch.py
@@ -29,6 +29,12 @@
     return http(200, json.dumps(listing(rev, *entries, whole=whole)).encode())
 
 
+def watch_of(discovery: HttpPeer, directory: EndpointDirectory, polled: bool) -> DiscoveryWatch:
+    """Returns a watch on a discovery that listens."""
+    host, _, port = discovery.address.partition(":")
+    return DiscoveryWatch((host, int(port)), directory, 1, polled=polled)
+
+
 async def test_the_watch_continues_and_after_a_failure_asks_for_the_whole_list() -> None:
     c0, c1 = entry("c0", "127.0.0.1:1"), entry("c1", "127.0.0.1:1")
     script: list[bytes | None] = [
@@ -44,8 +50,7 @@
     discovery = HttpPeer(lambda asked, line: script.pop(0) if script else None)
     await discovery.start()
     directory, updates = make_directory()
-    host, _, port = discovery.address.partition(":")
-    watch = DiscoveryWatch((host, int(port)), directory, 1, polled=False)
+    watch = watch_of(discovery, directory, polled=False)
     watch.times = PollTimes(hold_s=0.1, hold_margin_s=0.3, timeout_s=0.3, first_pause_s=0.05, max_pause_s=1.0)
     watch.start()
     await wait_until(lambda: directory.version == 10 and len(discovery.received) > 8)
@@ -74,8 +79,7 @@
     discovery = HttpPeer(lambda asked, line: script.pop(0) if script else None)
     await discovery.start()
     directory, _ = make_directory()
-    host, _, port = discovery.address.partition(":")
-    watch = DiscoveryWatch((host, int(port)), directory, 1, polled=False)
+    watch = watch_of(discovery, directory, polled=False)
     watch.start()
     await wait_until(lambda: directory.targets and not directory.can_serve)
     targets = [asked[1].partition(b"&")[0] for asked in discovery.received]
@@ -90,8 +94,7 @@
     discovery = HttpPeer(lambda asked, line: None if b"from" in asked[1] else answer)
     await discovery.start()
     directory, _ = make_directory()
-    host, _, port = discovery.address.partition(":")
-    watch = DiscoveryWatch((host, int(port)), directory, 1, polled=False)
+    watch = watch_of(discovery, directory, polled=False)
     watch.start()
     await wait_until(lambda: any(b"from=7" in asked[1] for asked in discovery.received))
     assert len(discovery.received) == 1 + MAX_REREADS + 1
@@ -104,8 +107,7 @@
     discovery = HttpPeer(lambda asked, line: http(503))
     await discovery.start()
     directory, updates = make_directory()
-    host, _, port = discovery.address.partition(":")
-    watch = DiscoveryWatch((host, int(port)), directory, 1, polled=True)
+    watch = watch_of(discovery, directory, polled=True)
     watch.start()
     await wait_until(lambda: updates)
     assert updates[0].kind is api.EndpointUpdateKind.FAILED and len(discovery.received) == 1
--- a/tests/node/test_relay.py
+++ b/tests/node/test_relay.py
@@ -35,6 +35,22 @@
     return asked, answer
 
 
+def script_that_holds_the_first(short: dict[bytes, bytes]) -> tuple[list[asyncio.StreamWriter], Script]:
+    """Returns a script that sends nothing for i1, and the list of the connections on which i1 came.
+
+    It answers the ids in `short` as given there, and all others with a long value.
+    """
+    first: list[asyncio.StreamWriter] = []
+
+    def answer(parts: Any, line: asyncio.StreamWriter) -> bytes | None:
+        if parts[2] == b"i1":
+            first.append(line)
+            return None
+        return short.get(parts[2], HEAD + VALUE + TAIL)
+
+    return first, answer
+
+
 async def read_exactly(caller: Caller, size: int) -> bytes:
     """Returns the next `size` bytes received."""
     async with asyncio.timeout(PATIENCE):
@@ -192,14 +208,7 @@
 
 
 async def test_answers_keep_their_order_around_a_long_value() -> None:
-    first: list[asyncio.StreamWriter] = []
-
-    def script(asked: Any, line: asyncio.StreamWriter) -> bytes | None:
-        if asked[2] == b"i1":
-            first.append(line)
-            return None
-        return HEAD + VALUE + TAIL if asked[2] == b"i2" else hit(b"third")
-
+    first, script = script_that_holds_the_first({b"i3": hit(b"third")})
     async with router(script) as bench:
         caller = await bench.caller()
         for name in (b"i1", b"i2", b"i3"):
@@ -211,14 +220,7 @@
 
 
 async def test_the_last_answer_keeps_its_order_though_it_is_a_long_value() -> None:
-    first: list[asyncio.StreamWriter] = []
-
-    def script(asked: Any, line: asyncio.StreamWriter) -> bytes | None:
-        if asked[2] == b"i1":
-            first.append(line)
-            return None
-        return HEAD + VALUE + TAIL
-
+    first, script = script_that_holds_the_first({})
     async with router(script) as bench:
         caller = await bench.caller()
         for name in (b"i1", b"i2"):
@@ -229,14 +231,7 @@
 
 
 async def test_a_long_value_for_which_there_is_no_memory_fails() -> None:
-    first: list[asyncio.StreamWriter] = []
-
-    def script(asked: Any, line: asyncio.StreamWriter) -> bytes | None:
-        if asked[2] == b"i1":
-            first.append(line)
-            return None
-        return HEAD + VALUE + TAIL
-
+    first, script = script_that_holds_the_first({})
     async with router(script, memory=100_000) as bench:
         caller = await bench.caller()
         for name in (b"i1", b"i2", b"i3"):
